--- /dev/null
+++ b/cmd/siskinknot/main.go
@@ -0,0 +1,35 @@
+// Command siskinknot is a router for servers that own keys exclusively.
+//
+// Run "siskinknot help" for its commands.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+)
+
+// Exit codes beside those of package subcommands (0 success, 1 failure, 2 wrong
+// usage).
+const (
+	exitRefused     subcommands.ExitStatus = 3 // the edit was refused
+	exitUnreachable subcommands.ExitStatus = 4 // the daemon does not answer
+	exitPending     subcommands.ExitStatus = 5 // the edit's fate is not known yet
+	exitInvalid     subcommands.ExitStatus = 6 // the file is not valid
+)
+
+func main() {
+	top := subcommands.NewCommander(flag.CommandLine, "siskinknot")
+	top.Register(top.HelpCommand(), "help")
+	top.Register(top.FlagsCommand(), "help")
+	top.Register(&daemonCommand{}, "")
+	top.Register(&configCommand{}, "")
+	top.Register(&settingsCommand{}, "operating")
+	top.Register(&statusCommand{}, "operating")
+	top.Register(&explainCommand{}, "operating")
+	top.Register(&versionCommand{}, "help")
+	flag.Parse()
+	os.Exit(int(top.Execute(context.Background())))
+}
--- /dev/null
+++ b/cmd/siskinknot/status.go
@@ -0,0 +1,197 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"net/netip"
+	"os"
+	"text/tabwriter"
+
+	"github.com/google/subcommands"
+
+	"siskinknot/io/member"
+	"siskinknot/io/operator"
+)
+
+// defaultOperator is the operator address that the documentation recommends.
+const defaultOperator = "127.0.0.1:7402"
+
+// remote is the part that commands which ask a daemon have in common.
+type remote struct {
+	operator string
+	json     bool
+}
+
+func (r *remote) setFlags(f *flag.FlagSet) {
+	f.StringVar(&r.operator, "operator", defaultOperator, "operator `address` of a daemon")
+	f.BoolVar(&r.json, "json", false, "print JSON")
+}
+
+// client returns a client of the daemon.
+func (r *remote) client() (*operator.Client, error) {
+	addr, err := netip.ParseAddrPort(r.operator)
+	if err != nil {
+		return nil, fmt.Errorf("operator address %q: %w", r.operator, err)
+	}
+	return operator.NewClient(addr), nil
+}
+
+// run calls ask with a client and returns the exit code.
+func (r *remote) run(ask func(*operator.Client) error) subcommands.ExitStatus {
+	client, err := r.client()
+	if err == nil {
+		err = ask(client)
+	}
+	if err != nil {
+		return fail(err)
+	}
+	return subcommands.ExitSuccess
+}
+
+// fail prints err and returns its exit code.
+func fail(err error) subcommands.ExitStatus {
+	fmt.Fprintln(os.Stderr, err)
+	var refused *operator.RefusedError
+	if errors.As(err, &refused) {
+		return subcommands.ExitFailure
+	}
+	return exitUnreachable
+}
+
+// print prints v as JSON if that was asked for, otherwise with plain.
+func (r *remote) print(v any, plain func()) error {
+	if !r.json {
+		plain()
+		return nil
+	}
+	enc := json.NewEncoder(os.Stdout)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
+
+// statusCommand prints the fleet as a daemon sees it.
+type statusCommand struct {
+	remote
+}
+
+func (*statusCommand) Name() string     { return "status" }
+func (*statusCommand) Synopsis() string { return "show the fleet as a daemon sees it" }
+func (*statusCommand) Usage() string {
+	return `status [-operator ADDR] [-json]
+  Shows the members, their leases, guardians, slots and settings versions, and
+  how far the daemon has read the log. Exit code 4 if it does not answer.
+`
+}
+func (c *statusCommand) SetFlags(f *flag.FlagSet) { c.setFlags(f) }
+
+func (c *statusCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	return c.run(func(client *operator.Client) error {
+		st, err := client.Status(ctx)
+		if err != nil {
+			return err
+		}
+		return c.print(st, func() { printStatus(st) })
+	})
+}
+
+// printStatus prints a status for a person.
+func printStatus(st member.Status) {
+	fmt.Printf("daemon %s  lease held: %v  target: %s\n", st.Incarnation, st.Holds, st.Target)
+	fmt.Printf("log answers: %v  next offset %d  head read %d ms ago  snapshot at %d\n",
+		st.LogOK, st.NextOffset, st.HeadReadAgoMs, st.SnapshotAt)
+	fmt.Printf("settings version %d\n", st.SettingsVersion)
+	for _, id := range st.HeirOf {
+		fmt.Printf("serves as heir of %s until the log is back\n", id)
+	}
+	for _, svc := range st.Services {
+		fmt.Printf("service %s: %d slots, %d without owner, %d keys on their own, planned by %s\n",
+			svc.Name, svc.Slots, svc.Free, len(svc.Carved), svc.Planner)
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "MEMBER\tSERVICE\tZONE\tSLOTS\tLEASE\tSETTINGS\tLOG\tGUARDIANS\tSTATE")
+	for _, m := range st.Members {
+		lease, version, next := "?", "?", "?"
+		if m.Reached {
+			lease = map[bool]string{true: "held", false: "none"}[m.Holds]
+			version = fmt.Sprint(m.SettingsVersion)
+			next = fmt.Sprint(m.NextOffset)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%s\t%s\t%s %s\t%s\n", m.ID, m.Service, m.Zone, m.Slots,
+			lease, version, next, m.Guardians[0], m.Guardians[1], memberState(m))
+	}
+	_ = w.Flush()
+}
+
+// memberState words the state of a member.
+func memberState(m member.MemberStatus) string {
+	switch {
+	case m.Succeeded:
+		return "succeeded"
+	case m.Accused != 0:
+		return "accused"
+	case m.Leaving:
+		return "leaving"
+	case !m.Reached:
+		return "does not answer"
+	default:
+		return "ok"
+	}
+}
+
+// explainCommand says who owns a key.
+type explainCommand struct {
+	remote
+	service string
+}
+
+func (*explainCommand) Name() string     { return "explain" }
+func (*explainCommand) Synopsis() string { return "say who owns a key, and why" }
+func (*explainCommand) Usage() string {
+	return `explain [-operator ADDR] [-json] -service NAME KEY
+  Says who owns KEY, since which record of the log, and which records led there.
+`
+}
+
+func (c *explainCommand) SetFlags(f *flag.FlagSet) {
+	c.setFlags(f)
+	f.StringVar(&c.service, "service", "", "`name` of the service")
+}
+
+func (c *explainCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() != 1 || c.service == "" {
+		f.Usage()
+		return subcommands.ExitUsageError
+	}
+	return c.run(func(client *operator.Client) error {
+		ex, err := client.Explain(ctx, c.service, f.Arg(0))
+		if err != nil {
+			return err
+		}
+		return c.print(ex, func() { printExplanation(ex) })
+	})
+}
+
+// printExplanation prints an explanation for a person.
+func printExplanation(ex member.Explanation) {
+	unit := fmt.Sprintf("slot %d", ex.Slot)
+	if ex.Carved {
+		unit = "a unit of its own"
+	}
+	if ex.Owner == "" {
+		fmt.Printf("%s/%s (%s) has no owner\n", ex.Service, ex.Key, unit)
+	} else {
+		fmt.Printf("%s/%s (%s) is owned by %s since offset %d, by %s\n", ex.Service, ex.Key, unit, ex.Owner, ex.Since, ex.Cause)
+	}
+	if ex.Leaving {
+		fmt.Println("the owner is leaving and passes on its keys")
+	}
+	for _, e := range ex.Records {
+		fmt.Printf("%8d  %-10s %s\n", e.Offset, e.Kind, e.Text)
+		if e.Ignored != "" {
+			fmt.Printf("%8s  %-10s ignored: %s\n", "", "", e.Ignored)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,86 @@
+// Command standin runs the stand-ins that take the platform's place in tests
+// and demonstrations. It is not part of the product.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"siskinknot/standin/logservice"
+	"siskinknot/standin/targetserver"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(&logCommand{}, "")
+	subcommands.Register(&targetCommand{}, "")
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
+
+// logCommand runs the stand-in of the log service.
+type logCommand struct {
+	listen string
+}
+
+func (*logCommand) Name() string     { return "log" }
+func (*logCommand) Synopsis() string { return "run the stand-in of the platform's log" }
+func (*logCommand) Usage() string    { return "log [-listen ADDR]\n" }
+
+func (c *logCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.listen, "listen", "127.0.0.1:0", "address to listen on")
+}
+
+func (c *logCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	return serve(c.listen, &http.Server{Handler: logservice.New(), ReadHeaderTimeout: time.Minute})
+}
+
+// targetCommand runs the stand-in of a target.
+type targetCommand struct {
+	listen string
+	cfg    targetserver.Config
+}
+
+func (*targetCommand) Name() string     { return "target" }
+func (*targetCommand) Synopsis() string { return "run the stand-in of a target" }
+func (*targetCommand) Usage() string    { return "target -name NAME [flags]\n" }
+
+func (c *targetCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.listen, "listen", "127.0.0.1:0", "address to listen on")
+	f.StringVar(&c.cfg.Name, "name", "target", "name of the target")
+	f.IntVar(&c.cfg.Slots, "slots", 12, "requests at a time")
+	f.StringVar(&c.cfg.Shared, "shared", "", "directory that all targets share")
+	f.DurationVar(&c.cfg.Lookup, "lookup", time.Millisecond, "time of a lookup")
+	f.DurationVar(&c.cfg.Write, "write", 3*time.Millisecond, "time of a registration")
+	f.DurationVar(&c.cfg.Chunk, "chunk", time.Millisecond, "time of 64 KiB of a body")
+	f.DurationVar(&c.cfg.Connect, "connect", time.Millisecond, "time of a new connection")
+	f.BoolVar(&c.cfg.CheckGrants, "check_grants", false, "refuse requests whose grant has expired")
+}
+
+func (c *targetCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	srv, err := targetserver.New(c.cfg)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	return serve(c.listen, srv.HTTP())
+}
+
+// serve prints the address that it listens on and serves until it fails.
+func serve(addr string, server *http.Server) subcommands.ExitStatus {
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	fmt.Println("listening", listener.Addr())
+	fmt.Fprintln(os.Stderr, server.Serve(listener))
+	return subcommands.ExitFailure
+}
--- /dev/null
+++ b/core/balance/choice.go
@@ -0,0 +1,123 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"siskinknot/core/record"
+)
+
+// Ways to choose a target of a shared service.
+const (
+	TwoChoices = "two_choices"
+	RoundRobin = "round_robin"
+	Random     = "random"
+)
+
+// view is what this daemon itself has seen of a target, whatever the target
+// says of itself.
+type view struct {
+	inFlight int
+	// latency is an average over recent answers.
+	latency time.Duration
+	// failures counts failures since the last answer.
+	failures  int
+	failedAt  time.Time
+	everTried bool
+}
+
+// Chooser chooses targets of shared services. It is safe for concurrent use.
+type Chooser struct {
+	mu    sync.Mutex
+	views map[record.Incarnation]*view
+	next  int
+}
+
+// NewChooser returns a Chooser that has seen nothing.
+func NewChooser() *Chooser {
+	return &Chooser{views: map[record.Incarnation]*view{}}
+}
+
+// Pick returns one of candidates and notes a request in flight there. The
+// caller reports its end with Done.
+func (c *Chooser) Pick(now time.Time, way string, candidates []record.Incarnation) record.Incarnation {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	chosen := c.pick(now, way, candidates)
+	v := c.view(chosen)
+	v.inFlight++
+	return chosen
+}
+
+func (c *Chooser) pick(now time.Time, way string, candidates []record.Incarnation) record.Incarnation {
+	switch way {
+	case RoundRobin:
+		c.next++
+		return candidates[c.next%len(candidates)]
+	case Random:
+		return candidates[rand.N(len(candidates))]
+	default:
+		a := candidates[rand.N(len(candidates))]
+		b := candidates[rand.N(len(candidates))]
+		if c.cost(now, b) < c.cost(now, a) {
+			return b
+		}
+		return a
+	}
+}
+
+// cost is the time that a new request is expected to take.
+func (c *Chooser) cost(now time.Time, id record.Incarnation) float64 {
+	const (
+		leastLatency  = time.Millisecond
+		failurePeriod = 2 * time.Second
+	)
+	v := c.view(id)
+	cost := float64(v.inFlight+1) * max(v.latency, leastLatency).Seconds()
+	if v.failures > 0 && now.Sub(v.failedAt) < failurePeriod {
+		cost *= float64(1 + 10*v.failures)
+	}
+	return cost
+}
+
+// Done notes how a picked request ended.
+func (c *Chooser) Done(now time.Time, id record.Incarnation, took time.Duration, ok bool) {
+	const smoothing = 8
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	v := c.view(id)
+	v.inFlight--
+	if !ok {
+		v.failures++
+		v.failedAt = now
+		return
+	}
+	v.failures = 0
+	if !v.everTried {
+		v.latency = took
+		v.everTried = true
+	}
+	v.latency += (took - v.latency) / smoothing
+}
+
+// view returns the view of id.
+func (c *Chooser) view(id record.Incarnation) *view {
+	v := c.views[id]
+	if v == nil {
+		v = &view{}
+		c.views[id] = v
+	}
+	return v
+}
+
+// Forget drops the views of targets that keep does not admit.
+func (c *Chooser) Forget(keep func(record.Incarnation) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, v := range c.views {
+		if v.inFlight == 0 && !keep(id) {
+			delete(c.views, id)
+		}
+	}
+}
--- /dev/null
+++ b/io/member/status.go
@@ -0,0 +1,291 @@
+package member
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"siskinknot/core/fleet"
+	"siskinknot/core/record"
+	"siskinknot/core/settings"
+	"siskinknot/io/boottime"
+	"siskinknot/io/peer/peerpb"
+)
+
+// Status is the fleet as this daemon sees it.
+type Status struct {
+	Incarnation record.Incarnation `json:"incarnation"`
+	Holds       bool               `json:"holds"`
+	Target      string             `json:"target"`
+	// HeirOf names the members whose units this daemon serves off the log.
+	HeirOf          []record.Incarnation `json:"heir_of"`
+	NextOffset      uint64               `json:"next_offset"`
+	LogOK           bool                 `json:"log_ok"`
+	HeadReadAgoMs   int64                `json:"head_read_ago_ms"`
+	SettingsVersion uint64               `json:"settings_version"`
+	SnapshotAt      uint64               `json:"snapshot_at"`
+	Members         []MemberStatus       `json:"members"`
+	Services        []ServiceStatus      `json:"services"`
+}
+
+// MemberStatus is a member as this daemon sees it, with what it says itself.
+type MemberStatus struct {
+	ID        record.Incarnation    `json:"id"`
+	Service   string                `json:"service"`
+	Zone      string                `json:"availability_zone"`
+	Daemon    netip.AddrPort        `json:"daemon_address"`
+	Caller    netip.AddrPort        `json:"caller_address"`
+	Since     uint64                `json:"since"`
+	Epoch     uint64                `json:"epoch"`
+	Guardians [2]record.Incarnation `json:"guardians"`
+	Slots     int                   `json:"slots"`
+	Leaving   bool                  `json:"leaving"`
+	Succeeded bool                  `json:"succeeded"`
+	Accused   uint64                `json:"accused,omitempty"`
+	// Reached is whether the member answered this daemon just now; the rest is
+	// its answer.
+	Reached         bool   `json:"reached"`
+	Holds           bool   `json:"holds"`
+	SettingsVersion uint64 `json:"settings_version"`
+	NextOffset      uint64 `json:"next_offset"`
+}
+
+// ServiceStatus is a service divided by key.
+type ServiceStatus struct {
+	Name    string             `json:"name"`
+	Slots   int                `json:"slots"`
+	Free    int                `json:"free"`
+	Carved  []string           `json:"carved_keys"`
+	Planner record.Incarnation `json:"planner"`
+	Term    uint64             `json:"term"`
+}
+
+// Status returns the fleet as this daemon sees it. It asks each member for what
+// it says itself, until ctx ends.
+func (m *Member) Status(ctx context.Context) Status {
+	st := m.localStatus(boottime.Now())
+	const parallel = 16
+	slots := make(chan struct{}, parallel)
+	var wg sync.WaitGroup
+	for i := range st.Members {
+		wg.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			m.probe(ctx, &st.Members[i])
+		})
+	}
+	wg.Wait()
+	return st
+}
+
+// probe asks a member for what it says itself.
+func (m *Member) probe(ctx context.Context, ms *MemberStatus) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	call := &peerpb.Call{Kind: &peerpb.Call_Probe{Probe: &peerpb.Probe{}}}
+	reply, err := m.pool.Ask(ctx, ms.Daemon, call)
+	if err != nil {
+		return
+	}
+	ms.Reached = true
+	ms.Holds = reply.Holds
+	ms.SettingsVersion = reply.SettingsVersion
+	ms.NextOffset = reply.NextOffset
+}
+
+// localStatus returns what this daemon knows without asking others.
+func (m *Member) localStatus(now time.Time) Status {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	st := Status{
+		Incarnation:     m.me,
+		Holds:           m.book.Holds(now),
+		Target:          m.target.String(),
+		HeirOf:          m.book.Inherited(),
+		NextOffset:      m.state.Next(),
+		LogOK:           m.logOK,
+		HeadReadAgoMs:   now.Sub(m.book.HeadReadAt()).Milliseconds(),
+		SettingsVersion: m.state.Settings().Version(),
+		SnapshotAt:      m.state.SnapshotAt(),
+	}
+	for _, mem := range m.state.Members() {
+		st.Members = append(st.Members, m.memberStatus(mem))
+	}
+	for _, s := range m.state.Settings().Services() {
+		if svc := m.state.Service(s.Name); svc != nil {
+			st.Services = append(st.Services, serviceStatus(svc))
+		}
+	}
+	return st
+}
+
+// memberStatus returns what the fold knows of mem. The caller holds the mutex.
+func (m *Member) memberStatus(mem *fleet.Member) MemberStatus {
+	ms := MemberStatus{
+		ID: mem.ID, Service: mem.Service, Zone: mem.Zone, Daemon: mem.Daemon,
+		Caller: mem.Caller, Since: mem.Since, Epoch: mem.Epoch, Guardians: mem.Pair,
+		Leaving: mem.Leaving, Succeeded: mem.Succeeded, Accused: mem.Accused,
+	}
+	if svc := m.state.Service(mem.Service); svc != nil {
+		ms.Slots = svc.Count(mem.ID)
+	}
+	return ms
+}
+
+func serviceStatus(svc *fleet.Service) ServiceStatus {
+	st := ServiceStatus{
+		Name: svc.Name, Slots: svc.Slots(), Carved: svc.Carved(),
+		Planner: svc.Planner, Term: svc.Term,
+	}
+	for slot := range svc.Slots() {
+		if svc.Slot(slot).ID == "" {
+			st.Free++
+		}
+	}
+	return st
+}
+
+// Explanation says who owns a key and why.
+type Explanation struct {
+	Service string             `json:"service"`
+	Key     string             `json:"key"`
+	Slot    int                `json:"slot"`
+	Carved  bool               `json:"carved"`
+	Owner   record.Incarnation `json:"owner"`
+	// Since is the offset of the record that made Owner the owner, and Cause
+	// its kind.
+	Since uint64      `json:"since"`
+	Cause fleet.Cause `json:"cause"`
+	// Leaving says that the owner is passing on its keys.
+	Leaving bool `json:"leaving"`
+	// NextOffset is how far this daemon has read the log.
+	NextOffset uint64 `json:"next_offset"`
+	// Records are the remembered records that concern the key or its owner,
+	// oldest first.
+	Records []JournalEntry `json:"records"`
+}
+
+// Explain says who owns key of service and which records led there.
+func (m *Member) Explain(service, key string) (Explanation, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	svc := m.state.Service(service)
+	if svc == nil {
+		return Explanation{}, fmt.Errorf("service %q is not divided by key", service)
+	}
+	unit, owner := svc.UnitOf(key)
+	ex := Explanation{
+		Service: service, Key: key, Slot: unit.Slot, Carved: unit.Key != "",
+		Owner: owner.ID, Since: owner.Token, Cause: owner.Cause, NextOffset: m.state.Next(),
+	}
+	if mem := m.state.Member(owner.ID); mem != nil {
+		ex.Leaving = mem.Leaving
+	}
+	owners := map[record.Incarnation]bool{}
+	if owner.ID != "" {
+		owners[owner.ID] = true
+	}
+	for _, e := range m.journal.entries {
+		if revoke, ok := e.rec.(record.Revoke); ok && e.Offset == owner.Token {
+			owners[revoke.Of] = true
+		}
+	}
+	ex.Records = m.journal.about(service, key, unit.Slot, owners)
+	return ex, nil
+}
+
+// SettingsView is the settings tree, or a node of it.
+type SettingsView struct {
+	Version uint64 `json:"version"`
+	// Tree is the whole tree, if no node was asked for.
+	Tree json.RawMessage `json:"tree,omitempty"`
+	// Node is what the node sets itself.
+	Node json.RawMessage `json:"node,omitempty"`
+	// Effective is each value in force at the node with its source.
+	Effective map[string]settings.Sourced `json:"effective,omitempty"`
+}
+
+// Settings returns the whole tree for an empty node, or the node.
+func (m *Member) Settings(node string, effective bool) (SettingsView, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	tree := m.state.Settings()
+	view := SettingsView{Version: tree.Version()}
+	if node == "" {
+		view.Tree = tree.JSON()
+		return view, nil
+	}
+	data, ok := tree.NodeJSON(node)
+	if !ok {
+		return SettingsView{}, fmt.Errorf("node %q does not exist", node)
+	}
+	view.Node = data
+	if effective {
+		sources, err := tree.Explain(node)
+		if err != nil {
+			return SettingsView{}, err
+		}
+		view.Effective = sources
+	}
+	return view, nil
+}
+
+// History returns the fates of the remembered settings edits, oldest first.
+func (m *Member) History() []settings.Fate {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state.Settings().History()
+}
+
+// Fate returns what became of the settings edit with the given id.
+func (m *Member) Fate(id string) (settings.Fate, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state.Settings().Fate(id)
+}
+
+// Publish appends a settings edit and returns its fate. An edit without a base
+// version is based on the version in force here. If ctx ends first the edit may
+// still be accepted; its id tells later.
+func (m *Member) Publish(ctx context.Context, edit settings.Edit) (settings.Fate, error) {
+	m.mu.Lock()
+	if edit.Base == 0 {
+		edit.Base = m.state.Settings().Version()
+	}
+	m.mu.Unlock()
+	rec := record.Edit{ID: edit.ID, Base: edit.Base, Node: edit.Node, Patch: edit.Patch, Author: edit.Author}
+	for {
+		appendErr := m.append(rec)
+		if fate, ok := m.awaitFate(ctx, edit.ID); ok {
+			return fate, nil
+		}
+		if ctx.Err() != nil {
+			return settings.Fate{}, eris.Errorf("fate of edit %q is not known yet (last append: %v)", edit.ID, appendErr)
+		}
+	}
+}
+
+// awaitFate waits until the fate of an edit is known, for resendAfter.
+func (m *Member) awaitFate(ctx context.Context, id string) (settings.Fate, bool) {
+	ctx, cancel := context.WithTimeout(ctx, resendAfter)
+	defer cancel()
+	for {
+		m.mu.Lock()
+		fate, ok := m.state.Settings().Fate(id)
+		folded := m.folded
+		m.mu.Unlock()
+		if ok {
+			return fate, true
+		}
+		select {
+		case <-folded:
+		case <-ctx.Done():
+			return settings.Fate{}, false
+		}
+	}
+}
--- /dev/null
+++ b/io/operator/operator.go
@@ -0,0 +1,142 @@
+// Package operator serves the people and programs that look after a fleet: the
+// status, the settings, the explanation of ownership, and the metrics.
+//
+// Each daemon serves these over HTTP on its operator address:
+//
+//	GET  /status                       the fleet as this daemon sees it
+//	GET  /explain/SERVICE/KEY          who owns a key and why
+//	GET  /settings?node=N&effective=B  the settings tree, or a node
+//	POST /settings                     publishes a settings.Edit
+//	GET  /settings/history             the fates of past edits
+//	GET  /settings/fate/ID             the fate of one edit
+//	GET  /health                       200 while the daemon runs
+//	GET  /metrics                      counters in Prometheus' text format
+//
+// # Usage
+//
+//	server := &http.Server{Handler: operator.Handler(member, metricsHandler)}
+//
+//	client := operator.NewClient(addr)
+//	status, err := client.Status(ctx)
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/uptrace/bunrouter"
+
+	"siskinknot/core/settings"
+	"siskinknot/io/member"
+)
+
+// Limits of the interface.
+const (
+	maxEditBytes   = 1 << 20
+	publishTimeout = 10 * time.Second
+)
+
+// Failure is the body of every answer that is not 200.
+type Failure struct {
+	Error string `json:"error"`
+}
+
+// Handler returns the HTTP handler for operators.
+func Handler(m *member.Member, metrics http.Handler) http.Handler {
+	router := bunrouter.New()
+	router.GET("/status", func(w http.ResponseWriter, req bunrouter.Request) error {
+		return reply(w, http.StatusOK, m.Status(req.Context()))
+	})
+	router.GET("/explain/:service/:key", func(w http.ResponseWriter, req bunrouter.Request) error {
+		return explain(w, req, m)
+	})
+	router.GET("/settings", func(w http.ResponseWriter, req bunrouter.Request) error {
+		return getSettings(w, req, m)
+	})
+	router.POST("/settings", func(w http.ResponseWriter, req bunrouter.Request) error {
+		return publish(w, req, m)
+	})
+	router.GET("/settings/history", func(w http.ResponseWriter, _ bunrouter.Request) error {
+		return reply(w, http.StatusOK, m.History())
+	})
+	router.GET("/settings/fate/:id", func(w http.ResponseWriter, req bunrouter.Request) error {
+		fate, ok := m.Fate(req.Param("id"))
+		if !ok {
+			return fail(w, http.StatusNotFound, "edit "+req.Param("id")+" is not known")
+		}
+		return reply(w, http.StatusOK, fate)
+	})
+	router.GET("/health", func(w http.ResponseWriter, _ bunrouter.Request) error {
+		return reply(w, http.StatusOK, struct{}{})
+	})
+	router.GET("/metrics", bunrouter.HTTPHandler(metrics))
+	return router
+}
+
+func explain(w http.ResponseWriter, req bunrouter.Request, m *member.Member) error {
+	key, err := url.PathUnescape(req.Param("key"))
+	if err != nil {
+		return fail(w, http.StatusBadRequest, err.Error())
+	}
+	explanation, err := m.Explain(req.Param("service"), key)
+	if err != nil {
+		return fail(w, http.StatusNotFound, err.Error())
+	}
+	return reply(w, http.StatusOK, explanation)
+}
+
+func getSettings(w http.ResponseWriter, req bunrouter.Request, m *member.Member) error {
+	query := req.URL.Query()
+	view, err := m.Settings(query.Get("node"), query.Get("effective") == "true")
+	if err != nil {
+		return fail(w, http.StatusNotFound, err.Error())
+	}
+	return reply(w, http.StatusOK, view)
+}
+
+// publish appends an edit. The status is 200 if it was accepted, 409 if it was
+// refused, 202 if its fate is not known yet.
+func publish(w http.ResponseWriter, req bunrouter.Request, m *member.Member) error {
+	data, err := io.ReadAll(http.MaxBytesReader(w, req.Body, maxEditBytes))
+	if err != nil {
+		return fail(w, http.StatusRequestEntityTooLarge, err.Error())
+	}
+	var edit settings.Edit
+	if err := json.Unmarshal(data, &edit); err != nil {
+		return fail(w, http.StatusBadRequest, err.Error())
+	}
+	if edit.ID == "" {
+		return fail(w, http.StatusBadRequest, "edit_id is empty")
+	}
+	ctx, cancel := context.WithTimeout(req.Context(), publishTimeout)
+	defer cancel()
+	fate, err := m.Publish(ctx, edit)
+	switch {
+	case err != nil:
+		return fail(w, http.StatusAccepted, err.Error())
+	case !fate.Accepted:
+		return reply(w, http.StatusConflict, fate)
+	default:
+		return reply(w, http.StatusOK, fate)
+	}
+}
+
+// reply answers with v as JSON.
+func reply(w http.ResponseWriter, status int, v any) error {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	return json.NewEncoder(w).Encode(v)
+}
+
+// fail answers with a Failure.
+func fail(w http.ResponseWriter, status int, text string) error {
+	return reply(w, status, Failure{Error: text})
+}
+
+// ErrPending says that the fate of an edit is not known yet.
+var ErrPending = errors.New("the fate of the edit is not known yet")
--- /dev/null
+++ b/io/peer/peer.go
@@ -0,0 +1,235 @@
+// Package peer is the inner protocol, which siskinknot daemons speak to one
+// another.
+//
+// A connection opens with a Hello and a HelloAnswer, which carry the protocol's
+// version, and then carries a yamux session. Each call is a yamux stream: the
+// caller writes a Call, and reads either one Reply or, for a Forward, the Parts
+// of an answer that ends with an End. Messages are protobuf, each preceded by
+// its length as a varint.
+//
+// Sessions are opened on demand, one for each peer and Purpose, so that bulk
+// data cannot delay other requests, nor requests the renewals of leases. A
+// session without streams is closed after a while. A session that has streams
+// but receives nothing is pinged; if no answer comes it is closed, which ends
+// its streams, and the next call opens a new one.
+//
+// # Usage
+//
+//	pool := peer.NewPool("registry-1", localIP, logger)
+//	reply, err := pool.Ask(ctx, addr, &peerpb.Call{Kind: &peerpb.Call_Renew{...}})
+//
+//	server := peer.NewServer(listener, "registry-1", handler, logger)
+//	defer server.Close()
+package peer
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+
+	"siskinknot/core/record"
+	"siskinknot/io/peer/peerpb"
+)
+
+// Version is the version of the protocol. Daemons refuse other versions.
+const Version = 1
+
+// Purpose is what a session is for.
+type Purpose uint32
+
+// The purposes.
+const (
+	Control  Purpose = iota // leases and membership
+	Requests                // forwarded requests but bulk
+	Bulk                    // forwarded bulk requests
+	purposes
+)
+
+// String returns the purpose's name in metrics.
+func (p Purpose) String() string {
+	switch p {
+	case Control:
+		return "control"
+	case Requests:
+		return "requests"
+	case Bulk:
+		return "bulk"
+	default:
+		return fmt.Sprintf("purpose(%d)", uint32(p))
+	}
+}
+
+// Limits of the protocol.
+const (
+	// MaxMessageBytes bounds every message but a Reply with a state.
+	MaxMessageBytes = 256 << 10
+	// maxStateBytes bounds a Reply with a state.
+	maxStateBytes = 2 * record.MaxBytes
+	// PartBytes is the most data sent in one Part.
+	PartBytes = 32 << 10
+	// InlineBytes is the largest body sent within its Forward.
+	InlineBytes = 16 << 10
+
+	handshakeTimeout = time.Second
+	// silenceLimit is how long a session with streams may receive nothing
+	// before it is pinged.
+	silenceLimit = 300 * time.Millisecond
+	// pingTimeout bounds a ping and a blocked write.
+	pingTimeout = 600 * time.Millisecond
+	// idleLimit is how long a session without streams is kept.
+	idleLimit = 30 * time.Second
+)
+
+// NewIncarnation returns a name for a run of the daemon of server.
+func NewIncarnation(server, random string) record.Incarnation {
+	return record.Incarnation(server + "#" + random)
+}
+
+// yamuxConfig returns the settings of a session. Keep-alive is done by watch,
+// which pings only where there is something to lose.
+func yamuxConfig() *yamux.Config {
+	cfg := yamux.DefaultConfig()
+	cfg.EnableKeepAlive = false
+	cfg.ConnectionWriteTimeout = pingTimeout
+	cfg.StreamOpenTimeout = 0
+	cfg.StreamCloseTimeout = 30 * time.Second
+	cfg.MaxStreamWindowSize = 256 << 10
+	cfg.AcceptBacklog = 1024
+	cfg.LogOutput = io.Discard
+	return cfg
+}
+
+// countingConn counts the bytes of a connection.
+type countingConn struct {
+	net.Conn
+	received atomic.Uint64
+	sent     atomic.Uint64
+	total    *Traffic
+}
+
+// Read implements net.Conn.
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received.Add(uint64(n))
+	c.total.Received.Add(uint64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.sent.Add(uint64(n))
+	c.total.Sent.Add(uint64(n))
+	return n, err
+}
+
+// Traffic counts the bytes of all sessions of one purpose.
+type Traffic struct {
+	Received atomic.Uint64
+	Sent     atomic.Uint64
+}
+
+// Stream carries one call. Writes and reads may be concurrent with one another.
+type Stream struct {
+	raw *yamux.Stream
+	in  *bufio.Reader
+}
+
+func newStream(raw *yamux.Stream) *Stream {
+	return &Stream{raw: raw, in: bufio.NewReaderSize(raw, 4<<10)}
+}
+
+// Write sends msg.
+func (s *Stream) Write(msg proto.Message) error {
+	if _, err := protodelim.MarshalTo(s.raw, msg); err != nil {
+		return eris.Wrap(err, "write message")
+	}
+	return nil
+}
+
+// Read receives a message into msg.
+func (s *Stream) Read(msg proto.Message) error {
+	return readMessage(s.in, msg, MaxMessageBytes)
+}
+
+// SetDeadline bounds reads and writes; t is on the clock of package time.
+func (s *Stream) SetDeadline(t time.Time) error { return s.raw.SetDeadline(t) }
+
+// SetReadDeadline bounds reads; t is on the clock of package time.
+func (s *Stream) SetReadDeadline(t time.Time) error { return s.raw.SetReadDeadline(t) }
+
+// Close ends the call in both directions.
+func (s *Stream) Close() error { return s.raw.Close() }
+
+// readMessage reads a message of at most limit bytes.
+func readMessage(in protodelim.Reader, msg proto.Message, limit int64) error {
+	opts := protodelim.UnmarshalOptions{MaxSize: limit}
+	return opts.UnmarshalFrom(in, msg)
+}
+
+// byteReader reads single bytes without reading ahead, for the handshake.
+type byteReader struct{ io.Reader }
+
+// ReadByte implements io.ByteReader.
+func (r byteReader) ReadByte() (byte, error) {
+	var b [1]byte
+	_, err := io.ReadFull(r.Reader, b[:])
+	return b[0], err
+}
+
+// greet opens conn as the side that dialled.
+func greet(conn net.Conn, server string, purpose Purpose) error {
+	hello := &peerpb.Hello{Version: Version, Server: server, Purpose: uint32(purpose)}
+	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+		return eris.Wrap(err, "set handshake deadline")
+	}
+	if _, err := protodelim.MarshalTo(conn, hello); err != nil {
+		return eris.Wrap(err, "write hello")
+	}
+	var answer peerpb.HelloAnswer
+	if err := readMessage(byteReader{conn}, &answer, MaxMessageBytes); err != nil {
+		return eris.Wrap(err, "read hello answer")
+	}
+	if answer.Error != "" {
+		return eris.Errorf("peer refused the connection: %s", answer.Error)
+	}
+	return eris.Wrap(conn.SetDeadline(time.Time{}), "clear handshake deadline")
+}
+
+// welcome opens conn as the side that was dialled.
+func welcome(conn net.Conn, server string) (*peerpb.Hello, error) {
+	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+		return nil, eris.Wrap(err, "set handshake deadline")
+	}
+	var hello peerpb.Hello
+	if err := readMessage(byteReader{conn}, &hello, MaxMessageBytes); err != nil {
+		return nil, eris.Wrap(err, "read hello")
+	}
+	answer := &peerpb.HelloAnswer{Version: Version, Server: server, Error: refusal(&hello)}
+	if _, err := protodelim.MarshalTo(conn, answer); err != nil {
+		return nil, eris.Wrap(err, "write hello answer")
+	}
+	if answer.Error != "" {
+		return nil, eris.Errorf("refused a connection: %s", answer.Error)
+	}
+	return &hello, eris.Wrap(conn.SetDeadline(time.Time{}), "clear handshake deadline")
+}
+
+// refusal says why a connection with this hello is refused, or "".
+func refusal(hello *peerpb.Hello) string {
+	if hello.Version != Version {
+		return fmt.Sprintf("protocol version %d, want %d", hello.Version, Version)
+	}
+	if Purpose(hello.Purpose) >= purposes {
+		return fmt.Sprintf("purpose %d does not exist", hello.Purpose)
+	}
+	return ""
+}
--- /dev/null
+++ b/io/peer/pool.go
@@ -0,0 +1,251 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/hashicorp/yamux"
+	"github.com/rotisserie/eris"
+	"gopkg.in/tomb.v2"
+
+	"siskinknot/io/peer/peerpb"
+)
+
+// Pool keeps the sessions that this daemon opened. It is safe for concurrent
+// use.
+type Pool struct {
+	server  string
+	dialer  net.Dialer
+	log     hclog.Logger
+	traffic [purposes]Traffic
+	tomb    tomb.Tomb
+
+	mu       sync.Mutex
+	sessions map[sessionKey]*session
+}
+
+type sessionKey struct {
+	addr    netip.AddrPort
+	purpose Purpose
+}
+
+// session is a connection to a peer, or the attempt to make one.
+type session struct {
+	// ready is closed once mux or err is set.
+	ready chan struct{}
+	mux   *yamux.Session
+	conn  *countingConn
+	err   error
+}
+
+// NewPool returns an empty pool for the daemon of server, which connects from
+// the address local.
+func NewPool(server string, local netip.Addr, log hclog.Logger) *Pool {
+	p := &Pool{server: server, log: log, sessions: map[sessionKey]*session{}}
+	p.dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(local, 0))
+	p.tomb.Go(func() error {
+		<-p.tomb.Dying()
+		p.closeAll()
+		return nil
+	})
+	return p
+}
+
+// Close closes all sessions and waits for their tasks.
+func (p *Pool) Close() error {
+	p.tomb.Kill(nil)
+	return p.tomb.Wait()
+}
+
+// Traffic returns the byte counts of the sessions for purpose.
+func (p *Pool) Traffic(purpose Purpose) *Traffic { return &p.traffic[purpose] }
+
+// Sessions returns the number of open sessions.
+func (p *Pool) Sessions() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.sessions)
+}
+
+// closeAll closes the sessions at the end of the pool.
+func (p *Pool) closeAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.sessions {
+		select {
+		case <-s.ready:
+			if s.mux != nil {
+				_ = s.mux.Close()
+			}
+		default:
+		}
+	}
+}
+
+// Open starts a call to the daemon at addr. An error means that nothing of the
+// call was sent.
+func (p *Pool) Open(ctx context.Context, addr netip.AddrPort, purpose Purpose) (*Stream, error) {
+	const attempts = 2 // the first may meet a session that has just closed
+	var err error
+	for range attempts {
+		var s *session
+		s, err = p.session(ctx, addr, purpose)
+		if err != nil {
+			return nil, err
+		}
+		var raw *yamux.Stream
+		raw, err = s.mux.OpenStream()
+		if err == nil {
+			return newStream(raw), nil
+		}
+		p.drop(sessionKey{addr, purpose}, s)
+	}
+	return nil, eris.Wrapf(err, "open stream to %s", addr)
+}
+
+// Ask makes a control call and returns its reply.
+func (p *Pool) Ask(ctx context.Context, addr netip.AddrPort, call *peerpb.Call) (*peerpb.Reply, error) {
+	stream, err := p.Open(ctx, addr, Control)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = stream.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	if err := stream.Write(call); err != nil {
+		return nil, err
+	}
+	var reply peerpb.Reply
+	if err := readMessage(stream.in, &reply, maxStateBytes); err != nil {
+		return nil, eris.Wrapf(err, "read reply from %s", addr)
+	}
+	if reply.Error != "" {
+		return nil, eris.Errorf("%s refused the call: %s", addr, reply.Error)
+	}
+	return &reply, nil
+}
+
+// Drop closes the session to addr, so that the next call opens a new one.
+func (p *Pool) Drop(addr netip.AddrPort, purpose Purpose) {
+	key := sessionKey{addr, purpose}
+	p.mu.Lock()
+	s := p.sessions[key]
+	p.mu.Unlock()
+	if s == nil {
+		return
+	}
+	select {
+	case <-s.ready:
+		p.drop(key, s)
+	default:
+	}
+}
+
+// session returns the open session to addr, and opens it if there is none.
+func (p *Pool) session(ctx context.Context, addr netip.AddrPort, purpose Purpose) (*session, error) {
+	key := sessionKey{addr, purpose}
+	p.mu.Lock()
+	s := p.sessions[key]
+	if s == nil {
+		if !p.tomb.Alive() {
+			p.mu.Unlock()
+			return nil, eris.New("peer pool is closed")
+		}
+		s = &session{ready: make(chan struct{})}
+		p.sessions[key] = s
+		p.tomb.Go(func() error {
+			p.run(key, s)
+			return nil
+		})
+	}
+	p.mu.Unlock()
+	select {
+	case <-s.ready:
+		return s, s.err
+	case <-ctx.Done():
+		return nil, eris.Wrapf(ctx.Err(), "connect to %s", addr)
+	}
+}
+
+// run is the task of one session: it connects and then watches the session.
+func (p *Pool) run(key sessionKey, s *session) {
+	s.err = p.connect(key, s)
+	close(s.ready)
+	if s.err == nil {
+		watch(s.mux, s.conn, p.tomb.Dying())
+	}
+	p.drop(key, s)
+}
+
+// connect dials and greets the peer.
+func (p *Pool) connect(key sessionKey, s *session) error {
+	ctx, cancel := context.WithTimeout(p.tomb.Context(nil), handshakeTimeout) //nolint:staticcheck // tomb takes nil
+	defer cancel()
+	conn, err := p.dialer.DialContext(ctx, "tcp", key.addr.String())
+	if err != nil {
+		return eris.Wrapf(err, "dial %s", key.addr)
+	}
+	if err := greet(conn, p.server, key.purpose); err != nil {
+		_ = conn.Close()
+		return eris.Wrapf(err, "greet %s", key.addr)
+	}
+	s.conn = &countingConn{Conn: conn, total: &p.traffic[key.purpose]}
+	s.mux, err = yamux.Client(s.conn, yamuxConfig())
+	if err != nil {
+		_ = conn.Close()
+		return eris.Wrapf(err, "start session with %s", key.addr)
+	}
+	return nil
+}
+
+// drop closes s and forgets it.
+func (p *Pool) drop(key sessionKey, s *session) {
+	p.mu.Lock()
+	if p.sessions[key] == s {
+		delete(p.sessions, key)
+	}
+	p.mu.Unlock()
+	if s.mux != nil {
+		_ = s.mux.Close()
+	}
+}
+
+// watch pings mux while it has streams and receives nothing, and closes it when
+// a ping fails or it is idle for long.
+func watch(mux *yamux.Session, conn *countingConn, dying <-chan struct{}) {
+	defer func() { _ = mux.Close() }()
+	ticker := time.NewTicker(silenceLimit)
+	defer ticker.Stop()
+	received := conn.received.Load()
+	idle := time.Duration(0)
+	for {
+		select {
+		case <-ticker.C:
+		case <-mux.CloseChan():
+			return
+		case <-dying:
+			return
+		}
+		now := conn.received.Load()
+		silent := now == received
+		received = now
+		if mux.NumStreams() == 0 {
+			idle += silenceLimit
+			if idle >= idleLimit {
+				return
+			}
+			continue
+		}
+		idle = 0
+		if !silent {
+			continue
+		}
+		if _, err := mux.Ping(); err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/io/peer/server.go
@@ -0,0 +1,121 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"net"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/hashicorp/yamux"
+	"github.com/rotisserie/eris"
+	"gopkg.in/tomb.v2"
+
+	"siskinknot/io/peer/peerpb"
+)
+
+// Handler serves the calls of other daemons.
+type Handler interface {
+	// Answer serves every call but a Forward.
+	Answer(ctx context.Context, call *peerpb.Call) *peerpb.Reply
+	// Forward serves a forwarded request on its stream, and ends it with a
+	// Part that carries an End.
+	Forward(ctx context.Context, fwd *peerpb.Forward, stream *Stream)
+}
+
+// Server accepts the sessions of other daemons.
+type Server struct {
+	listener net.Listener
+	server   string
+	handler  Handler
+	log      hclog.Logger
+	traffic  [purposes]Traffic
+	tomb     tomb.Tomb
+}
+
+// NewServer serves handler on listener until Close.
+func NewServer(listener net.Listener, server string, handler Handler, log hclog.Logger) *Server {
+	s := &Server{listener: listener, server: server, handler: handler, log: log}
+	s.tomb.Go(func() error {
+		<-s.tomb.Dying()
+		return s.listener.Close()
+	})
+	s.tomb.Go(func() error {
+		for {
+			conn, err := s.listener.Accept()
+			if err != nil {
+				return s.acceptError(err)
+			}
+			s.tomb.Go(func() error {
+				s.serveConn(conn)
+				return nil
+			})
+		}
+	})
+	return s
+}
+
+// Close ends all sessions and waits for their tasks.
+func (s *Server) Close() error {
+	s.tomb.Kill(nil)
+	return s.tomb.Wait()
+}
+
+// Traffic returns the byte counts of the sessions for purpose.
+func (s *Server) Traffic(purpose Purpose) *Traffic { return &s.traffic[purpose] }
+
+// acceptError returns err unless it comes from Close.
+func (s *Server) acceptError(err error) error {
+	if !s.tomb.Alive() {
+		return nil
+	}
+	return eris.Wrap(err, "accept")
+}
+
+// serveConn is the task of one connection.
+func (s *Server) serveConn(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	hello, err := welcome(conn, s.server)
+	if err != nil {
+		s.log.Debug("connection refused", "from", conn.RemoteAddr(), "error", err)
+		return
+	}
+	counted := &countingConn{Conn: conn, total: &s.traffic[hello.Purpose]}
+	mux, err := yamux.Server(counted, yamuxConfig())
+	if err != nil {
+		s.log.Error("session did not start", "from", conn.RemoteAddr(), "error", err)
+		return
+	}
+	s.tomb.Go(func() error {
+		watch(mux, counted, s.tomb.Dying())
+		return nil
+	})
+	for {
+		raw, err := mux.AcceptStream()
+		if err != nil {
+			return
+		}
+		s.tomb.Go(func() error {
+			s.serveStream(newStream(raw))
+			return nil
+		})
+	}
+}
+
+// serveStream is the task of one call.
+func (s *Server) serveStream(stream *Stream) {
+	defer func() { _ = stream.Close() }()
+	var call peerpb.Call
+	if err := stream.Read(&call); err != nil {
+		if !eris.Is(err, io.EOF) {
+			s.log.Debug("call does not parse", "error", err)
+		}
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if fwd, ok := call.Kind.(*peerpb.Call_Forward); ok {
+		s.handler.Forward(ctx, fwd.Forward, stream)
+		return
+	}
+	_ = stream.Write(s.handler.Answer(ctx, &call))
+}
--- /dev/null
+++ b/standin/processes/processes.go
@@ -0,0 +1,506 @@
+// Package processes runs a whole fleet as separate processes on loopback: a log
+// stand-in, targets, and a daemon beside each. Tests, measurements and the
+// demonstration of "make run" use it.
+//
+// The VM number i has the address 127.0.1.i. With Options.Proxies a fault proxy
+// stands before each daemon and before the log; a rule for the address of a VM
+// then concerns the connections that come from it.
+//
+// # Usage
+//
+//	fleet, err := processes.Start(processes.Options{Bin: "bin", Servers: servers})
+//	defer fleet.Close()
+//	err = fleet.WaitReady(ctx)
+//	fleet.Servers[0].Daemon.Kill()
+package processes
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"siskinknot/core/settings"
+	"siskinknot/io/member"
+	"siskinknot/io/operator"
+	"siskinknot/standin/faultproxy"
+	"siskinknot/standin/logservice"
+	"siskinknot/standin/targetserver"
+)
+
+// startTimeout bounds the start of one process.
+const startTimeout = 20 * time.Second
+
+// ServerSpec describes a VM with its target.
+type ServerSpec struct {
+	Name    string
+	Service string
+	Zone    string
+	// Target are further arguments of the target's stand-in.
+	Target []string
+}
+
+// Options describe a fleet.
+type Options struct {
+	// Bin is the directory of the programs siskinknot and standin.
+	Bin     string
+	Servers []ServerSpec
+	// Tree is the settings tree to publish at the start.
+	Tree json.RawMessage
+	// Proxies puts a fault proxy before each daemon and before the log.
+	Proxies bool
+	// Config are further fields of each daemon's configuration.
+	Config map[string]any
+	// Logs receives the daemons' log lines; nil discards them.
+	Logs io.Writer
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	// Dir is the directory that the targets share.
+	Dir      string
+	Log      *Process
+	LogAddr  netip.AddrPort
+	LogProxy *faultproxy.Proxy
+	Servers  []*Server
+	opts     Options
+	http     *http.Client
+}
+
+// Server is a VM with a target and its daemon.
+type Server struct {
+	Spec       ServerSpec
+	IP         netip.Addr
+	Target     *Process
+	Daemon     *Process
+	TargetAddr netip.AddrPort
+	DaemonAddr netip.AddrPort
+	CallerAddr netip.AddrPort
+	Operator   *operator.Client
+	OpAddr     netip.AddrPort
+	// Proxy stands before the daemon, if the fleet has proxies.
+	Proxy *faultproxy.Proxy
+	fleet *Fleet
+	path  string
+}
+
+// Start starts a fleet. On error nothing is left running.
+func Start(opts Options) (*Fleet, error) {
+	dir, err := os.MkdirTemp("", "siskinknot-")
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{Dir: dir, opts: opts, http: &http.Client{Timeout: 5 * time.Second}}
+	if err := f.start(); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+// start starts the processes.
+func (f *Fleet) start() error {
+	var err error
+	f.Log, err = f.run("standin", "log")
+	if err != nil {
+		return err
+	}
+	f.LogAddr, err = f.Log.listening()
+	if err != nil {
+		return err
+	}
+	if f.opts.Proxies {
+		f.LogProxy, err = faultproxy.New(netip.MustParseAddrPort("127.0.2.200:0"), f.LogAddr)
+		if err != nil {
+			return err
+		}
+	}
+	for i, spec := range f.opts.Servers {
+		s := &Server{
+			Spec:  spec,
+			IP:    netip.AddrFrom4([4]byte{127, 0, 1, byte(i + 1)}),
+			fleet: f,
+			path:  filepath.Join(f.Dir, spec.Name+".json"),
+		}
+		f.Servers = append(f.Servers, s)
+		if err := s.StartTarget(); err != nil {
+			return err
+		}
+		if err := s.StartDaemon(); err != nil {
+			return err
+		}
+	}
+	if f.opts.Tree == nil {
+		return nil
+	}
+	return f.publishTree()
+}
+
+// publishTree appends the settings tree to the log.
+func (f *Fleet) publishTree() error {
+	edit := settings.Edit{ID: member.NewEditID(), Node: "/", Patch: f.opts.Tree, Author: "processes"}
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	fate, err := f.Servers[0].Operator.Publish(ctx, edit)
+	if err != nil {
+		return err
+	}
+	if !fate.Accepted {
+		return errors.New(fate.Reason)
+	}
+	return nil
+}
+
+// Close kills all processes and removes the shared directory.
+func (f *Fleet) Close() {
+	for _, s := range f.Servers {
+		s.Daemon.Kill()
+		s.Target.Kill()
+		if s.Proxy != nil {
+			s.Proxy.Close()
+		}
+	}
+	f.Log.Kill()
+	if f.LogProxy != nil {
+		f.LogProxy.Close()
+	}
+	_ = os.RemoveAll(f.Dir)
+}
+
+// StartTarget starts the target, on its former port if it had one.
+func (s *Server) StartTarget() error {
+	listen := netip.AddrPortFrom(s.IP, s.TargetAddr.Port())
+	args := []string{"target", "-name", s.Spec.Name, "-listen", listen.String(), "-shared", s.fleet.Dir}
+	target, err := s.fleet.run("standin", append(args, s.Spec.Target...)...)
+	if err != nil {
+		return err
+	}
+	s.Target = target
+	s.TargetAddr, err = target.listening()
+	return err
+}
+
+// StartDaemon starts the daemon, on its former ports if it had some.
+func (s *Server) StartDaemon() error {
+	if s.fleet.opts.Proxies && s.Proxy == nil {
+		ip := s.IP.As4()
+		ip[2] = 2
+		proxy, err := faultproxy.New(netip.AddrPortFrom(netip.AddrFrom4(ip), 0), s.DaemonAddr)
+		if err != nil {
+			return err
+		}
+		s.Proxy = proxy
+	}
+	if err := s.writeConfig(); err != nil {
+		return err
+	}
+	daemon, err := s.fleet.run("siskinknot", "daemon", "-json", "-config", s.path)
+	if err != nil {
+		return err
+	}
+	s.Daemon = daemon
+	line, err := daemon.waitLine(func(l logLine) bool { return l.Message == "listening" })
+	if err != nil {
+		return err
+	}
+	s.DaemonAddr = netip.MustParseAddrPort(line.Daemon)
+	s.CallerAddr = netip.MustParseAddrPort(line.Caller)
+	s.OpAddr = netip.MustParseAddrPort(line.Operator)
+	s.Operator = operator.NewClient(s.OpAddr)
+	if s.Proxy != nil {
+		s.Proxy.SetBackend(s.DaemonAddr)
+	}
+	return nil
+}
+
+// writeConfig writes the daemon's configuration file.
+func (s *Server) writeConfig() error {
+	fields := map[string]any{
+		"server":            s.Spec.Name,
+		"service":           s.Spec.Service,
+		"availability_zone": s.Spec.Zone,
+		"daemon_address":    netip.AddrPortFrom(s.IP, s.DaemonAddr.Port()),
+		"caller_address":    netip.AddrPortFrom(s.IP, s.CallerAddr.Port()),
+		"operator_address":  netip.AddrPortFrom(s.IP, s.OpAddr.Port()),
+		"target_address":    s.TargetAddr,
+		"log_address":       s.fleet.LogAddr,
+	}
+	if s.Proxy != nil {
+		fields["daemon_advertised_address"] = s.Proxy.Addr()
+		fields["log_address"] = s.fleet.LogProxy.Addr()
+	}
+	for name, value := range s.fleet.opts.Config {
+		fields[name] = value
+	}
+	data, err := json.MarshalIndent(fields, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(s.path, data, 0o600)
+}
+
+// URL returns the URL of a path at the daemon's interface for callers.
+func (s *Server) URL(path string) string { return "http://" + s.CallerAddr.String() + path }
+
+// SetFaults sets the faults of the target.
+func (s *Server) SetFaults(faults targetserver.Faults) error {
+	return s.fleet.put("http://"+s.TargetAddr.String()+"/standin/faults", faults)
+}
+
+// SetLogFaults sets the faults of the log.
+func (f *Fleet) SetLogFaults(faults logservice.Faults) error {
+	return f.put("http://"+f.LogAddr.String()+"/standin/faults", faults)
+}
+
+// LogStats returns what was asked of the log.
+func (f *Fleet) LogStats() (logservice.Stats, error) {
+	var stats logservice.Stats
+	resp, err := f.http.Get("http://" + f.LogAddr.String() + "/standin/stats")
+	if err != nil {
+		return stats, err
+	}
+	defer resp.Body.Close()
+	return stats, json.NewDecoder(resp.Body).Decode(&stats)
+}
+
+// put sends v as JSON.
+func (f *Fleet) put(url string, v any) error {
+	body, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := f.http.Do(req)
+	if err != nil {
+		return err
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("PUT %s: status %d", url, resp.StatusCode)
+	}
+	return nil
+}
+
+// WaitReady waits until every daemon that runs holds its lease, all see the
+// same members, and no slot is without owner.
+func (f *Fleet) WaitReady(ctx context.Context) error {
+	for {
+		problem := f.notReady(ctx)
+		if problem == "" {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("fleet is not ready: %s", problem)
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+// notReady says why the fleet is not ready, or "".
+func (f *Fleet) notReady(ctx context.Context) string {
+	running := 0
+	for _, s := range f.Servers {
+		if s.Daemon.Running() {
+			running++
+		}
+	}
+	for _, s := range f.Servers {
+		if !s.Daemon.Running() {
+			continue
+		}
+		st, err := s.Operator.Status(ctx)
+		switch {
+		case err != nil:
+			return err.Error()
+		case !st.Holds:
+			return s.Spec.Name + " holds no lease"
+		case len(st.Members) != running:
+			return fmt.Sprintf("%s sees %d of %d members", s.Spec.Name, len(st.Members), running)
+		}
+		for _, svc := range st.Services {
+			if svc.Free > 0 {
+				return fmt.Sprintf("%s sees %d free slots of %s", s.Spec.Name, svc.Free, svc.Name)
+			}
+		}
+	}
+	return ""
+}
+
+// Process is a child process.
+type Process struct {
+	cmd  *exec.Cmd
+	done chan struct{}
+
+	mu      sync.Mutex
+	lines   []logLine
+	changed chan struct{}
+	address string
+}
+
+// logLine is a line of a daemon's log, as far as tests look at it.
+type logLine struct {
+	Message  string `json:"@message"`
+	Daemon   string `json:"daemon"`
+	Caller   string `json:"caller"`
+	Operator string `json:"operator"`
+}
+
+// run starts a program of the bin directory. It dies with this process.
+func (f *Fleet) run(program string, args ...string) (*Process, error) {
+	cmd := exec.Command(filepath.Join(f.opts.Bin, program), args...)
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	p := &Process{cmd: cmd, done: make(chan struct{}), changed: make(chan struct{})}
+	stdout, err := cmd.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	stderr, err := cmd.StderrPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := cmd.Start(); err != nil {
+		return nil, err
+	}
+	var readers sync.WaitGroup
+	readers.Go(func() { p.scan(stdout, nil) })
+	readers.Go(func() { p.scan(stderr, f.opts.Logs) })
+	go func() {
+		readers.Wait()
+		_ = cmd.Wait()
+		close(p.done)
+	}()
+	return p, nil
+}
+
+// scan follows the output of a process.
+func (p *Process) scan(r io.Reader, copyTo io.Writer) {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, 1<<20)
+	for scanner.Scan() {
+		text := scanner.Text()
+		if copyTo != nil {
+			fmt.Fprintln(copyTo, text)
+		}
+		var line logLine
+		address, listening := strings.CutPrefix(text, "listening ")
+		if !listening && json.Unmarshal([]byte(text), &line) != nil {
+			continue
+		}
+		p.mu.Lock()
+		if listening {
+			p.address = address
+		} else {
+			p.lines = append(p.lines, line)
+		}
+		close(p.changed)
+		p.changed = make(chan struct{})
+		p.mu.Unlock()
+	}
+}
+
+// wait waits until cond, which is called with the mutex held, returns true.
+func (p *Process) wait(cond func() bool) error {
+	timeout := time.After(startTimeout)
+	for {
+		p.mu.Lock()
+		ok := cond()
+		changed := p.changed
+		p.mu.Unlock()
+		if ok {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-p.done:
+			return fmt.Errorf("%s ended: %s", p.cmd.Path, p.cmd.ProcessState)
+		case <-timeout:
+			return fmt.Errorf("%s did not start within %v", p.cmd.Path, startTimeout)
+		}
+	}
+}
+
+// listening returns the address that a stand-in prints.
+func (p *Process) listening() (netip.AddrPort, error) {
+	if err := p.wait(func() bool { return p.address != "" }); err != nil {
+		return netip.AddrPort{}, err
+	}
+	return netip.ParseAddrPort(p.address)
+}
+
+// waitLine waits for a line of the log.
+func (p *Process) waitLine(match func(logLine) bool) (logLine, error) {
+	var found logLine
+	err := p.wait(func() bool {
+		for _, line := range p.lines {
+			if match(line) {
+				found = line
+				return true
+			}
+		}
+		return false
+	})
+	return found, err
+}
+
+// WaitMessage waits until the daemon has logged a line with message.
+func (p *Process) WaitMessage(message string) error {
+	_, err := p.waitLine(func(l logLine) bool { return l.Message == message })
+	return err
+}
+
+// Signal sends a signal.
+func (p *Process) Signal(sig syscall.Signal) { _ = p.cmd.Process.Signal(sig) }
+
+// Kill kills the process and waits for its end.
+func (p *Process) Kill() {
+	if p == nil {
+		return
+	}
+	p.Signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// Freeze stops the process until Thaw.
+func (p *Process) Freeze() { p.Signal(syscall.SIGSTOP) }
+
+// Thaw lets a frozen process go on.
+func (p *Process) Thaw() { p.Signal(syscall.SIGCONT) }
+
+// Running reports whether the process has not ended.
+func (p *Process) Running() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// Pid returns the process id.
+func (p *Process) Pid() int { return p.cmd.Process.Pid }
+
+// Wait waits for the end of the process and returns its exit code.
+func (p *Process) Wait(ctx context.Context) (int, error) {
+	select {
+	case <-p.done:
+		return p.cmd.ProcessState.ExitCode(), nil
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+}
