--- a/Makefile
+++ b/Makefile
@@ -17,3 +17,6 @@
 
 generate:
 	protoc --go_out=. --go_opt=module=siskinknot io/peer/peerpb/peer.proto
+
+run: build
+	bin/standin demo -bin bin
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -13,6 +13,7 @@
 
 	"github.com/google/subcommands"
 
+	"siskinknot/standin/demo"
 	"siskinknot/standin/logservice"
 	"siskinknot/standin/targetserver"
 )
@@ -21,6 +22,7 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(&logCommand{}, "")
 	subcommands.Register(&targetCommand{}, "")
+	subcommands.Register(&demoCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
@@ -73,6 +75,34 @@
 	return serve(c.listen, srv.HTTP())
 }
 
+// demoCommand runs the demonstration.
+type demoCommand struct {
+	bin string
+}
+
+func (*demoCommand) Name() string     { return "demo" }
+func (*demoCommand) Synopsis() string { return "run a fleet through a bad day" }
+func (*demoCommand) Usage() string    { return "demo [-bin DIR]\n" }
+
+func (c *demoCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.bin, "bin", "bin", "directory of the programs")
+}
+
+func (c *demoCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	ctx, cancel := context.WithTimeout(ctx, time.Minute)
+	defer cancel()
+	report, err := demo.Run(ctx, c.bin, os.Stdout)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	fmt.Println(report.Last())
+	if report.Broken() {
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
 // serve prints the address that it listens on and serves until it fails.
 func serve(addr string, server *http.Server) subcommands.ExitStatus {
 	listener, err := net.Listen("tcp", addr)
--- a/core/fleet/apply.go
+++ b/core/fleet/apply.go
@@ -28,19 +28,6 @@
 	return Ignored{Reason: fmt.Sprintf(format, args...)}
 }
 
-// The clauses of the fold that tests switch off.
-const (
-	ruleToken         rule = 1 << iota // a release carries the owner's token
-	ruleEpoch                          // a revoke names the present epoch
-	ruleRevokedSender                  // records of lost members are ignored
-	ruleConsent                        // a new pair carries consent
-	ruleReleaseSeq                     // a release is settled once
-	ruleAccused                        // a revoke names the unanswered accusation
-)
-
-// on reports whether clause r is in force.
-func (s *State) on(r rule) bool { return s.off&r == 0 }
-
 // Apply folds the record at offset, which must be Next. A record that does not
 // decode is passed as nil.
 func (s *State) Apply(offset uint64, rec record.Record) Verdict {
@@ -85,7 +72,7 @@
 	if m == nil {
 		return nil, ignored("sender %q is not a member", by)
 	}
-	if m.Succeeded && s.on(ruleRevokedSender) {
+	if m.Succeeded {
 		return nil, ignored("sender %q was succeeded", by)
 	}
 	return m, nil
@@ -136,7 +123,7 @@
 			return ignored("guardian %q of %q is lost", id, rec.By)
 		}
 	}
-	if m.Epoch > 0 && s.on(ruleConsent) && !m.Guards(rec.Consent) && !s.unguarded(m) {
+	if m.Epoch > 0 && !m.Guards(rec.Consent) && !s.unguarded(m) {
 		return ignored("no guardian of epoch %d of %q consented", m.Epoch, rec.By)
 	}
 	m.Epoch = rec.Epoch
@@ -181,7 +168,7 @@
 	if refusal != nil {
 		return refusal
 	}
-	if rec.Seq <= m.Releases && s.on(ruleReleaseSeq) {
+	if rec.Seq <= m.Releases {
 		return ignored("release %d of %q was settled before", rec.Seq, rec.By)
 	}
 	m.Releases = rec.Seq
@@ -223,7 +210,7 @@
 			owner, carved = o, true
 		}
 	}
-	if owner.ID != from || (owner.Token != unit.Token && s.on(ruleToken)) {
+	if owner.ID != from || owner.Token != unit.Token {
 		return false
 	}
 	switch {
@@ -267,12 +254,12 @@
 // revokeGround returns why the revoke of m has no ground, or nil.
 func (s *State) revokeGround(m *Member, rec record.Revoke) Verdict {
 	if rec.Accused != 0 {
-		if rec.Accused != m.Accused && s.on(ruleAccused) {
+		if rec.Accused != m.Accused {
 			return ignored("accusation %d of %q was answered", rec.Accused, rec.Of)
 		}
 		return nil
 	}
-	if rec.Epoch != m.Epoch && s.on(ruleEpoch) {
+	if rec.Epoch != m.Epoch {
 		return ignored("epoch %d of %q is not %d", rec.Epoch, rec.Of, m.Epoch)
 	}
 	if m.Epoch == 0 {
--- a/core/fleet/state.go
+++ b/core/fleet/state.go
@@ -199,13 +199,8 @@
 	settings *settings.Tree
 	// snapshotAt is the offset of the last Snapshot record.
 	snapshotAt uint64
-	off        rule
 }
 
-// rule names a clause of the fold that a test can switch off to show that the
-// test notices.
-type rule uint
-
 // New returns the state before the first record.
 func New() *State {
 	return &State{
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -79,6 +79,7 @@
 	ruleNoRenewals                      // no renewal is accepted while a new pair is under way
 	ruleFoldedPair                      // a new guardian counts from its fold
 	ruleConsent                         // consent is refused after a promise
+	ruleConsentNeeded                   // a new pair needs consent or the loss of both guardians
 	ruleHeirOnly                        // after an off-log promise only the heir revokes
 	ruleHeirConsented                   // no heir after a consent
 	ruleHeirRevokeSent                  // no heir after a revoke was sent
--- a/core/lease/pair.go
+++ b/core/lease/pair.go
@@ -20,7 +20,7 @@
 	if m == nil || m.Succeeded {
 		return record.Guardians{}, false
 	}
-	if m.Epoch > 0 && consent == "" && !b.Unguarded() {
+	if m.Epoch > 0 && consent == "" && !b.Unguarded() && b.on(ruleConsentNeeded) {
 		return record.Guardians{}, false
 	}
 	b.sentEpoch = m.Epoch + 1
--- a/core/lease/takeover.go
+++ b/core/lease/takeover.go
@@ -1,6 +1,8 @@
 package lease
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"siskinknot/core/fleet"
@@ -40,6 +42,7 @@
 		}
 		lapses = append(lapses, Lapse{Holder: holder, Epoch: w.epoch, Other: other, First: first})
 	}
+	slices.SortFunc(lapses, func(a, b Lapse) int { return cmp.Compare(a.Holder, b.Holder) })
 	return lapses
 }
 
@@ -173,6 +176,7 @@
 			ids = append(ids, holder)
 		}
 	}
+	slices.Sort(ids)
 	return ids
 }
 
@@ -212,10 +216,11 @@
 		if m == nil || m.Accused == 0 || id == b.me {
 			continue
 		}
-		if now.Sub(at) <= m.BlindLimit+m.BlindLimit/20+2*(Duration+Margin) {
+		if now.Sub(at) <= m.BlindLimit+m.BlindLimit/20+Margin {
 			continue
 		}
 		revokes = append(revokes, record.Revoke{By: b.me, Of: id, Epoch: m.Epoch, Accused: m.Accused})
 	}
+	slices.SortFunc(revokes, func(a, b record.Revoke) int { return cmp.Compare(a.Of, b.Of) })
 	return revokes
 }
