Send nothing into a session that has gone silent

They were registrations sent to a frozen or killed owner over a session that still looked open; it took up to 0.9 s until a ping closed it.

Ruled out: hedging to a second daemon (a registration must not be sent twice); a shorter ping timeout alone (a slow VM would lose healthy sessions).

Change: a session with open streams that is quiet for 100 ms is pinged, and one whose ping is under way for 100 ms takes no new calls; the entry tries again instead. A peer answers pings at once however slow its target is. A session that was quiet for a second is pinged before the next call.

--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -193,5 +193,13 @@
 	if err := r.control.SetReadDeadline(time.Now().Add(r.timeout)); err != nil {
 		return 0, err
 	}
-	return r.body.Read(p)
+	n, err := r.body.Read(p)
+	if err == io.EOF {
+		// The server now watches the connection for the caller's leaving, which
+		// the deadline of the body must not end.
+		if derr := r.control.SetReadDeadline(time.Time{}); derr != nil {
+			return n, derr
+		}
+	}
+	return n, err
 }
--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -134,9 +134,7 @@
 		if part.Admitted && !body.IsInline {
 			body.Taken = true
 			stopped := make(chan struct{})
-			defer func() { <-stopped }()
-			defer body.Abort()
-			defer func() { _ = stream.SetDeadline(time.Unix(1, 0)) }()
+			defer stopBody(stream, body, stopped)
 			go func() {
 				defer close(stopped)
 				sendBody(stream, body.Stream)
@@ -151,6 +149,18 @@
 	}
 }
 
+// stopBody ends the sending of the body, if the answer came before its end.
+func stopBody(stream *peer.Stream, body *Body, stopped <-chan struct{}) {
+	select {
+	case <-stopped:
+		return
+	default:
+	}
+	_ = stream.SetDeadline(time.Unix(1, 0))
+	body.Abort()
+	<-stopped
+}
+
 // cut returns the result of a stream that ended without an End.
 func cut(ctx context.Context) outcome.Result {
 	if ctx.Err() == context.DeadlineExceeded {
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -79,13 +79,8 @@
 	InlineBytes = 16 << 10
 
 	handshakeTimeout = time.Second
-	// silenceLimit is how long a session with streams may receive nothing
-	// before it is pinged.
-	silenceLimit = 300 * time.Millisecond
 	// pingTimeout bounds a ping and a blocked write.
 	pingTimeout = 600 * time.Millisecond
-	// idleLimit is how long a session without streams is kept.
-	idleLimit = 30 * time.Second
 )
 
 // NewIncarnation returns a name for a run of the daemon of server.
@@ -110,15 +105,16 @@
 // countingConn counts the bytes of a connection.
 type countingConn struct {
 	net.Conn
-	received atomic.Uint64
-	sent     atomic.Uint64
-	total    *Traffic
+	// heardAt is when data was last received, on the clock of package time in
+	// nanoseconds.
+	heardAt atomic.Int64
+	total   *Traffic
 }
 
 // Read implements net.Conn.
 func (c *countingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	c.received.Add(uint64(n))
+	c.heardAt.Store(time.Now().UnixNano())
 	c.total.Received.Add(uint64(n))
 	return n, err
 }
@@ -126,7 +122,6 @@
 // Write implements net.Conn.
 func (c *countingConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
-	c.sent.Add(uint64(n))
 	c.total.Sent.Add(uint64(n))
 	return n, err
 }
--- a/io/peer/pool.go
+++ b/io/peer/pool.go
@@ -38,7 +38,7 @@
 	// ready is closed once mux or err is set.
 	ready chan struct{}
 	mux   *yamux.Session
-	conn  *countingConn
+	watch *watch
 	err   error
 }
 
@@ -86,8 +86,12 @@
 	}
 }
 
+// errSilent is returned for a peer that does not answer pings.
+var errSilent = eris.New("the peer does not answer")
+
 // Open starts a call to the daemon at addr. An error means that nothing of the
-// call was sent.
+// call was sent. A session that has gone silent gets no new calls: what is sent
+// into it may or may not be run, and what is not sent can go elsewhere.
 func (p *Pool) Open(ctx context.Context, addr netip.AddrPort, purpose Purpose) (*Stream, error) {
 	const attempts = 2 // the first may meet a session that has just closed
 	var err error
@@ -97,6 +101,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if !s.watch.answers(ctx) {
+			return nil, eris.Wrapf(errSilent, "open stream to %s", addr)
+		}
 		var raw *yamux.Stream
 		raw, err = s.mux.OpenStream()
 		if err == nil {
@@ -176,7 +183,7 @@
 	s.err = p.connect(key, s)
 	close(s.ready)
 	if s.err == nil {
-		watch(s.mux, s.conn, p.tomb.Dying())
+		s.watch.run(p.tomb.Dying())
 	}
 	p.drop(key, s)
 }
@@ -193,12 +200,13 @@
 		_ = conn.Close()
 		return eris.Wrapf(err, "greet %s", key.addr)
 	}
-	s.conn = &countingConn{Conn: conn, total: &p.traffic[key.purpose]}
-	s.mux, err = yamux.Client(s.conn, yamuxConfig())
+	counted := &countingConn{Conn: conn, total: &p.traffic[key.purpose]}
+	s.mux, err = yamux.Client(counted, yamuxConfig())
 	if err != nil {
 		_ = conn.Close()
 		return eris.Wrapf(err, "start session with %s", key.addr)
 	}
+	s.watch = newWatch(s.mux, counted)
 	return nil
 }
 
@@ -213,39 +221,3 @@
 		_ = s.mux.Close()
 	}
 }
-
-// watch pings mux while it has streams and receives nothing, and closes it when
-// a ping fails or it is idle for long.
-func watch(mux *yamux.Session, conn *countingConn, dying <-chan struct{}) {
-	defer func() { _ = mux.Close() }()
-	ticker := time.NewTicker(silenceLimit)
-	defer ticker.Stop()
-	received := conn.received.Load()
-	idle := time.Duration(0)
-	for {
-		select {
-		case <-ticker.C:
-		case <-mux.CloseChan():
-			return
-		case <-dying:
-			return
-		}
-		now := conn.received.Load()
-		silent := now == received
-		received = now
-		if mux.NumStreams() == 0 {
-			idle += silenceLimit
-			if idle >= idleLimit {
-				return
-			}
-			continue
-		}
-		idle = 0
-		if !silent {
-			continue
-		}
-		if _, err := mux.Ping(); err != nil {
-			return
-		}
-	}
-}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -86,7 +86,7 @@
 		return
 	}
 	s.tomb.Go(func() error {
-		watch(mux, counted, s.tomb.Dying())
+		newWatch(mux, counted).run(s.tomb.Dying())
 		return nil
 	})
 	for {
