Do not wait for the handshake of a daemon that hangs

Cause: a frozen daemon's kernel still accepts connections, so that a new session hung in its handshake for a second, and so did the requests waiting for it, also after the key had a new owner.

Change: a call waits 150 ms for a connection; the attempt goes on for later calls, and the request is tried again at the owner of that time.

--- a/io/peer/pool.go
+++ b/io/peer/pool.go
@@ -170,14 +170,22 @@
 		})
 	}
 	p.mu.Unlock()
+	patience := time.NewTimer(connectPatience)
+	defer patience.Stop()
 	select {
 	case <-s.ready:
 		return s, s.err
+	case <-patience.C:
+		return nil, eris.Errorf("connection to %s takes longer than %v", addr, connectPatience)
 	case <-ctx.Done():
 		return nil, eris.Wrapf(ctx.Err(), "connect to %s", addr)
 	}
 }
 
+// connectPatience is how long a call waits for a connection. The attempt goes
+// on for later calls; the owner may have changed by then.
+const connectPatience = 150 * time.Millisecond
+
 // run is the task of one session: it connects and then watches the session.
 func (p *Pool) run(key sessionKey, s *session) {
 	s.err = p.connect(key, s)
