Retry takeovers sooner

Cause: the two guardians of a lapsed daemon count from different renewals, so that the second often refuses its promise at first; the next attempt came only 150 ms later, and lapses were looked for every 50 ms.

Change: an attempt every 60 ms, a look every 25 ms.

--- a/io/member/takeover.go
+++ b/io/member/takeover.go
@@ -11,9 +11,9 @@
 
 // Times of the guard.
 const (
-	guardEvery = 50 * time.Millisecond
+	guardEvery = 25 * time.Millisecond
 	// attemptEvery is the least time between two attempts to take over a ward.
-	attemptEvery = 150 * time.Millisecond
+	attemptEvery = 60 * time.Millisecond
 )
 
 // guard is the task that notices lapses: of the wards, which it takes over, and
