--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -63,6 +63,7 @@
 	f.DurationVar(&c.cfg.Write, "write", 3*time.Millisecond, "time of a registration")
 	f.DurationVar(&c.cfg.Chunk, "chunk", time.Millisecond, "time of 64 KiB of a body")
 	f.DurationVar(&c.cfg.Connect, "connect", time.Millisecond, "time of a new connection")
+	f.BoolVar(&c.cfg.IgnoreDeadlines, "ignore_deadlines", false, "run requests to their end whatever their deadline")
 	f.BoolVar(&c.cfg.CheckGrants, "check_grants", false, "refuse requests whose grant has expired")
 }
 
--- a/core/fleet/apply.go
+++ b/core/fleet/apply.go
@@ -271,7 +271,8 @@
 	if rec.Heir && m.Pair[0] != rec.By {
 		return ignored("%q is not the first guardian of %q", rec.By, rec.Of)
 	}
-	if !m.Guards(rec.By) && !s.unguarded(m) {
+	noHeir := m.Succeeded && s.Lost(m.Pair[0])
+	if !m.Guards(rec.By) && !s.unguarded(m) && !noHeir {
 		return ignored("%q does not guard %q", rec.By, rec.Of)
 	}
 	return nil
--- a/core/lease/guard.go
+++ b/core/lease/guard.go
@@ -72,11 +72,11 @@
 	return !b.state.Lost(b.me) && now.Sub(b.headReadAt) < Duration
 }
 
-// lapsed reports whether every renewal that this guardian gave w, or that the
-// guardians before it gave, has surely ended, and the guardian was awake to
-// hear of it.
-func (b *Book) lapsed(now time.Time, w *ward) bool {
-	if !b.on(ruleLapsed) {
+// lapsed reports whether every renewal that this guardian gave holder, or that
+// the guardians before it gave, has surely ended, and the guardian was awake to
+// hear of it. A holder whose process has ended needs no waiting for.
+func (b *Book) lapsed(now time.Time, holder record.Incarnation, w *ward) bool {
+	if m := b.state.Member(holder); !b.on(ruleLapsed) || (m != nil && m.Succeeded) {
 		return true
 	}
 	last := w.renewedAt
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -34,6 +34,11 @@
 //     accusation. That makes Book.RevokeAccused possible where lost daemons
 //     guarded one another.
 //
+// A process that takes the place of an earlier one on the same boot of the same
+// VM, at the same address, proves by its announcement that the earlier one has
+// ended. Its guardians then need not wait for the lease to lapse; and if the
+// first guardian is lost too, so that there can be no heir, nobody need.
+//
 // Clocks are never compared between daemons, only their rates; Margin covers
 // the difference. The clock has to count the time that a VM is suspended.
 //
--- a/core/lease/takeover.go
+++ b/core/lease/takeover.go
@@ -29,11 +29,11 @@
 	var lapses []Lapse
 	for holder, w := range b.wards {
 		m := b.state.Member(holder)
-		if m == nil || !b.lapsed(now, w) {
+		if m == nil || !b.lapsed(now, holder, w) {
 			continue
 		}
 		first := m.Pair[0] == b.me
-		if !first && !b.state.Lost(m.Pair[0]) && !b.lapsed(now.Add(-secondAfter), w) {
+		if !first && !b.state.Lost(m.Pair[0]) && !b.lapsed(now.Add(-secondAfter), holder, w) {
 			continue
 		}
 		other := m.Pair[0]
@@ -63,7 +63,7 @@
 	if w == nil || m == nil || !m.Guards(req.From) || req.From == b.me {
 		return false
 	}
-	if !w.promised && !b.lapsed(now, w) {
+	if !w.promised && !b.lapsed(now, req.Holder, w) {
 		return false
 	}
 	if req.OffLog {
@@ -95,12 +95,12 @@
 	}
 	w.otherPromised = true
 	w.otherOffLog = w.otherOffLog || req.OffLog
-	b.promiseSelf(now, w)
+	b.promiseSelf(now, req.Holder, w)
 }
 
 // promiseSelf makes this guardian's own promise if it may.
-func (b *Book) promiseSelf(now time.Time, w *ward) {
-	if b.lapsed(now, w) {
+func (b *Book) promiseSelf(now time.Time, holder record.Incarnation, w *ward) {
+	if b.lapsed(now, holder, w) {
 		w.promised = true
 	}
 }
@@ -129,7 +129,7 @@
 	}
 	otherDone := w.otherPromised || b.surelyLost(now, other) || !b.on(ruleBothPromise)
 	if otherDone {
-		b.promiseSelf(now, w)
+		b.promiseSelf(now, m.ID, w)
 	}
 	return otherDone && w.promised
 }
@@ -180,9 +180,10 @@
 	return ids
 }
 
-// Orphans returns the revokes of members whose guardians are both lost, which
-// any member may send. Such a member could name new guardians itself, and is
-// given another Duration to do so.
+// Orphans returns the revokes that any member may send: of members whose
+// guardians are both lost, and of members whose process has ended and whose
+// first guardian is lost, so that they have no heir. A member that lost both
+// guardians could name new ones itself, and is given another Duration to do so.
 func (b *Book) Orphans(now time.Time) []record.Revoke {
 	b.Tick(now)
 	var revokes []record.Revoke
@@ -193,7 +194,8 @@
 		if m.Epoch == 0 && !m.Succeeded {
 			continue
 		}
-		if m.Epoch > 0 && (!b.orphanedBy(now, m.Pair[0]) || !b.orphanedBy(now, m.Pair[1])) {
+		noHeir := m.Succeeded && b.state.Lost(m.Pair[0])
+		if m.Epoch > 0 && !noHeir && (!b.orphanedBy(now, m.Pair[0]) || !b.orphanedBy(now, m.Pair[1])) {
 			continue
 		}
 		revokes = append(revokes, record.Revoke{By: b.me, Of: m.ID, Epoch: m.Epoch})
--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -75,6 +75,7 @@
 	NoOwner       Reason = "no_owner"       // nobody owns the key at present
 	NoLease       Reason = "no_lease"       // the owner's lease has lapsed
 	NoService     Reason = "no_service"     // the settings name no such service
+	Starting      Reason = "starting"       // the daemon has not read the log yet
 	Overloaded    Reason = "overloaded"     // the queue cannot meet the deadline
 	QueueFull     Reason = "queue_full"     // the queue holds too many requests
 	Draining      Reason = "draining"       // the daemon or its target is leaving
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -196,6 +196,13 @@
 	if err != nil {
 		return nil, malformed("%v", err)
 	}
+	if !e.member.Ready() {
+		return nil, &problem{
+			status: http.StatusServiceUnavailable,
+			reason: outcome.Starting,
+			text:   "the daemon has not read the log yet",
+		}
+	}
 	values, kind, ok := e.member.Values(service, key)
 	if !ok {
 		return nil, &problem{
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -45,6 +45,7 @@
 	peers     *peer.Server
 	member    *member.Member
 	client    *target.Client
+	runner    *target.Runner
 	watch     *target.Watch
 	callers   *http.Server
 	operators *http.Server
@@ -142,19 +143,19 @@
 		SnapshotEvery:   d.cfg.SnapshotEvery.Duration(),
 		SnapshotRecords: d.cfg.SnapshotRecords,
 	}, member.Deps{
-		Log:     platformlog.New(d.cfg.Log),
+		Log:     platformlog.New(d.cfg.Log, d.cfg.Daemon.Addr()),
 		Pool:    d.pool,
 		Memory:  memory,
 		Metrics: scope,
 		Logger:  d.log.Named("member"),
 	})
 	d.client = target.NewClient(d.cfg.Target, d.telemetry.Tracer)
-	runner := target.NewRunner(d.member, d.client, memory, scope)
-	d.watch = target.NewWatch(d.member, d.client, runner, scope, d.log.Named("target"))
-	entry := caller.New(d.member, runner, d.pool, d.telemetry.Tracer, scope)
+	d.runner = target.NewRunner(d.member, d.client, memory, scope)
+	d.watch = target.NewWatch(d.member, d.client, d.runner, scope, d.log.Named("target"))
+	entry := caller.New(d.member, d.runner, d.pool, d.telemetry.Tracer, scope)
 	d.peers = peer.NewServer(d.listeners.peers, d.cfg.Server, &handler{
 		member: d.member,
-		runner: runner,
+		runner: d.runner,
 		tracer: d.telemetry.Tracer,
 	}, d.log.Named("peer"))
 	d.callers = serveHTTP(d.listeners.callers, entry.Handler(), d.log.Named("caller"))
@@ -188,13 +189,30 @@
 // and those under way end first, until ctx ends. It reports whether nothing was
 // cut off.
 func (d *Daemon) Stop(ctx context.Context) bool {
-	left := d.member.Leave(ctx)
+	left := d.member.Leave(ctx) && d.idle(ctx)
 	d.callers.SetKeepAlivesEnabled(false)
 	err := d.callers.Shutdown(ctx)
 	d.Close()
 	return left && err == nil
 }
 
+// idle waits until no request runs at the target or waits for it, and reports
+// false if ctx ends first.
+func (d *Daemon) idle(ctx context.Context) bool {
+	const every = 20 * time.Millisecond
+	for {
+		load := d.runner.Load()
+		if load.InFlight == 0 && load.Queued == 0 {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(every):
+		}
+	}
+}
+
 // Close ends the daemon at once.
 func (d *Daemon) Close() {
 	_ = d.callers.Close()
--- a/io/member/follow.go
+++ b/io/member/follow.go
@@ -25,8 +25,9 @@
 	readTimeout = time.Second
 	readPause   = 100 * time.Millisecond
 	// appendTimeout bounds an append.
-	appendTimeout = time.Second
-	// probeTimeout bounds the question whether the log is up.
+	appendTimeout = 2 * time.Second
+	// probeTimeout is how soon the log has to answer before something is begun
+	// that stops work until the log has taken a record and given it back.
 	probeTimeout = 250 * time.Millisecond
 )
 
@@ -126,6 +127,7 @@
 	}
 	if m.state.Next() >= batch.Next {
 		m.book.ReadHead(sentAt)
+		m.ready = true
 	}
 	if len(batch.Records) > 0 {
 		close(m.folded)
@@ -199,7 +201,8 @@
 // is down, and reports whether it succeeded.
 func (m *Member) loadState() bool {
 	state, err := m.loadFromLog()
-	if err != nil {
+	fromPeer := err != nil
+	if fromPeer {
 		m.noteLog(err)
 		state, err = m.loadFromPeer()
 	}
@@ -209,6 +212,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.state = state
+	m.ready = m.ready || fromPeer
 	m.book = lease.New(m.me, state, boottime.Now())
 	m.snapshot.seen(boottime.Now(), state.SnapshotAt())
 	close(m.folded)
@@ -307,9 +311,9 @@
 	return nil
 }
 
-// logUp reports whether the log answers now.
-func (m *Member) logUp() bool {
-	ctx, cancel := m.timeout(probeTimeout)
+// logAnswers reports whether the log answers now, within limit.
+func (m *Member) logAnswers(limit time.Duration) bool {
+	ctx, cancel := m.timeout(limit)
 	defer cancel()
 	_, err := m.log.Offsets(ctx)
 	return err == nil
--- a/io/member/member.go
+++ b/io/member/member.go
@@ -114,6 +114,8 @@
 	journal journal
 	works   map[*Work]struct{}
 	target  TargetState
+	// ready is set once the log, or a peer's state, was read to its end.
+	ready bool
 	// leaving is set once this daemon shuts down.
 	leaving bool
 	// cancelRead ends the read that waits for news, if there is one.
@@ -123,7 +125,7 @@
 	logOK bool
 	// renewedAt is when each guardian last renewed the lease.
 	renewedAt [2]time.Time
-	attempts  map[record.Incarnation]time.Time
+	attempts  map[record.Incarnation]attempt
 	held      bool
 	releasing bool
 	duties    map[string]time.Time
@@ -147,7 +149,7 @@
 		state:    fleet.New(),
 		folded:   make(chan struct{}),
 		works:    map[*Work]struct{}{},
-		attempts: map[record.Incarnation]time.Time{},
+		attempts: map[record.Incarnation]attempt{},
 		duties:   map[string]time.Time{},
 		load:     loads{keys: hotkeys.New(trackedKeys), busy: map[int]time.Duration{}},
 		planning: newPlanning(),
@@ -189,6 +191,13 @@
 // Service returns the name of the service of this daemon's target.
 func (m *Member) Service() string { return m.cfg.Service }
 
+// Ready reports whether this daemon has a state of the fleet to go by.
+func (m *Member) Ready() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.ready
+}
+
 // Target returns what is known of the target beside this daemon.
 func (m *Member) Target() TargetState {
 	m.mu.Lock()
--- a/io/member/release.go
+++ b/io/member/release.go
@@ -111,7 +111,13 @@
 // request ids, and appends the record until it is folded.
 func (m *Member) release(start time.Time, transfers []record.Transfer) {
 	poke(m.renewNow[0])
-	if !m.logUp() || !m.drained(start, transfers) || !m.handOver(transfers) {
+	m.mu.Lock()
+	patience := probeTimeout
+	if m.state.Member(m.me).Leaving {
+		patience = appendTimeout
+	}
+	m.mu.Unlock()
+	if !m.logAnswers(patience) || !m.drained(start, transfers) || !m.handOver(transfers) {
 		m.cancelRelease()
 		return
 	}
@@ -291,6 +297,13 @@
 	}
 }
 
+// Leaving reports whether this daemon is leaving the fleet.
+func (m *Member) Leaving() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.leaving
+}
+
 // left reports whether this daemon owns, runs and guards nothing any more.
 func (m *Member) left() bool {
 	m.mu.Lock()
--- a/io/member/takeover.go
+++ b/io/member/takeover.go
@@ -33,14 +33,21 @@
 	return nil
 }
 
-// startTakeover starts an attempt to take over a ward, unless there was one
-// just now.
+// attempt is the state of the takeover of a ward.
+type attempt struct {
+	running bool
+	// next is when the next attempt may start.
+	next time.Time
+}
+
+// startTakeover starts an attempt to take over a ward, unless one is under way
+// or was just now.
 func (m *Member) startTakeover(now time.Time, lapse lease.Lapse) {
 	m.mu.Lock()
-	next, ok := m.attempts[lapse.Holder]
-	due := !ok || !now.Before(next)
+	last := m.attempts[lapse.Holder]
+	due := !last.running && !now.Before(last.next)
 	if due {
-		m.attempts[lapse.Holder] = now.Add(attemptEvery)
+		m.attempts[lapse.Holder] = attempt{running: true}
 	}
 	other := m.state.Member(lapse.Other)
 	m.mu.Unlock()
@@ -49,17 +56,20 @@
 	}
 	m.tomb.Go(func() error {
 		m.takeOver(lapse, other)
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.attempts[lapse.Holder] = attempt{next: boottime.Now().Add(attemptEvery)}
 		return nil
 	})
 }
 
 // takeOver makes one attempt to take the units of a lapsed ward: with a Revoke
-// if the log is up, otherwise as its heir.
+// if the log answers, as its heir if it does not answer soon.
 func (m *Member) takeOver(lapse lease.Lapse, other *fleet.Member) {
 	if other != nil {
 		m.askPromise(lapse, other, false)
 	}
-	if m.logUp() {
+	if m.logAnswers(probeTimeout) {
 		m.revoke(lapse)
 		return
 	}
@@ -67,6 +77,9 @@
 		m.askPromise(lapse, other, true)
 		m.inherit(lapse)
 	}
+	if m.logAnswers(appendTimeout) {
+		m.revoke(lapse)
+	}
 }
 
 // askPromise asks the other guardian for its promise.
--- a/io/member/tend.go
+++ b/io/member/tend.go
@@ -216,10 +216,13 @@
 }
 
 // changePair appends a new pair with the consent of an old guardian. Because no
-// renewal counts until the record is folded, it first makes sure that the log
-// answers.
+// renewal counts until the record is folded, a daemon that has a lease to lose
+// first makes sure that the log answers soon.
 func (m *Member) changePair(self *fleet.Member, pair [2]record.Incarnation) {
-	if !m.logUp() {
+	m.mu.Lock()
+	holds := m.book.Holds(boottime.Now())
+	m.mu.Unlock()
+	if holds && !m.logAnswers(probeTimeout) {
 		return
 	}
 	consent := m.askConsent(self)
--- a/io/platformlog/platformlog.go
+++ b/io/platformlog/platformlog.go
@@ -12,7 +12,7 @@
 //
 // # Usage
 //
-//	log := platformlog.New(addr)
+//	log := platformlog.New(addr, localIP)
 //	offset, err := log.Append(ctx, data)
 //	batch, err := log.Read(ctx, next, time.Second)
 package platformlog
@@ -24,6 +24,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"time"
@@ -36,6 +37,9 @@
 // maxAnswerBytes bounds what one read may return.
 const maxAnswerBytes = 4 * record.MaxBytes
 
+// connectTimeout bounds the opening of a connection.
+const connectTimeout = time.Second
+
 // readLimit is the most records asked for in one read.
 const readLimit = 1000
 
@@ -92,9 +96,15 @@
 	http *http.Client
 }
 
-// New returns a client of the log service at addr.
-func New(addr netip.AddrPort) *Log {
+// New returns a client of the log service at addr, which connects from the
+// address local.
+func New(addr netip.AddrPort, local netip.Addr) *Log {
+	dialer := &net.Dialer{
+		Timeout:   connectTimeout,
+		LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(local, 0)),
+	}
 	transport := &http.Transport{
+		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     time.Minute,
 	}
--- a/io/target/runner.go
+++ b/io/target/runner.go
@@ -123,7 +123,7 @@
 	switch state := r.member.Target(); {
 	case state == member.TargetDown || state == member.TargetUnknown:
 		return outcome.NotRun{Reason: outcome.Unreachable}
-	case state == member.TargetDraining && kind == settings.Shared:
+	case kind == settings.Shared && (state == member.TargetDraining || r.member.Leaving()):
 		return outcome.NotRun{Reason: outcome.Draining}
 	default:
 		return nil
--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -20,7 +20,6 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -236,32 +235,9 @@
 func (d *demo) awaitOwned(ctx context.Context, server string) error {
 	ctx, cancel := context.WithTimeout(ctx, 15*time.Second)
 	defer cancel()
-	for {
-		st, err := d.entry().Operator.Status(ctx)
-		if err == nil && ownsNothing(st, server) {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return fmt.Errorf("%s still owns keys", server)
-		case <-time.After(50 * time.Millisecond):
-		}
-	}
-}
-
-// ownsNothing reports whether no slot is owned by server or by nobody.
-func ownsNothing(st member.FleetStatus, server string) bool {
-	for _, svc := range st.Services {
-		if svc.Free > 0 {
-			return false
-		}
-	}
-	for _, m := range st.Members {
-		if strings.HasPrefix(string(m.ID), server+"#") && m.Slots > 0 {
-			return false
-		}
-	}
-	return true
+	return d.entry().UntilStatus(ctx, func(st member.FleetStatus) string {
+		return processes.OwnsNothing(st, server)
+	})
 }
 
 // edit publishes a settings edit and waits until it is in force everywhere.
@@ -279,28 +255,14 @@
 		return 0, fmt.Errorf("edit was not accepted: %s %w", fate.Reason, err)
 	}
 	d.say("a settings edit is accepted as version %d", fate.Offset+1)
-	for {
-		st, err := d.entry().Operator.Status(ctx)
-		if err == nil && inForce(st, fate.Offset+1) {
-			d.say("it is in force on every daemon")
-			return time.Since(start), nil
-		}
-		select {
-		case <-ctx.Done():
-			return 0, fmt.Errorf("edit is not in force everywhere")
-		case <-time.After(5 * time.Millisecond):
-		}
-	}
-}
-
-// inForce reports whether all members have at least version.
-func inForce(st member.FleetStatus, version uint64) bool {
-	for _, m := range st.Members {
-		if m.SettingsVersion < version {
-			return false
-		}
+	err = d.entry().UntilStatus(ctx, func(st member.FleetStatus) string {
+		return processes.InForce(st, fate.Offset+1)
+	})
+	if err != nil {
+		return 0, err
 	}
-	return len(st.Members) > 0
+	d.say("it is in force on every daemon")
+	return time.Since(start), nil
 }
 
 // offer starts the load.
--- a/standin/processes/processes.go
+++ b/standin/processes/processes.go
@@ -90,6 +90,8 @@
 	CallerAddr netip.AddrPort
 	Operator   *operator.Client
 	OpAddr     netip.AddrPort
+	// Seeds are the seed daemons in the daemon's configuration.
+	Seeds []netip.AddrPort
 	// Proxy stands before the daemon, if the fleet has proxies.
 	Proxy *faultproxy.Proxy
 	fleet *Fleet
@@ -237,6 +239,9 @@
 		"target_address":    s.TargetAddr,
 		"log_address":       s.fleet.LogAddr,
 	}
+	if len(s.Seeds) > 0 {
+		fields["seed_daemons"] = s.Seeds
+	}
 	if s.Proxy != nil {
 		fields["daemon_advertised_address"] = s.Proxy.Addr()
 		fields["log_address"] = s.fleet.LogProxy.Addr()
@@ -299,17 +304,7 @@
 // WaitReady waits until every daemon that runs holds its lease, all see the
 // same members, and no slot is without owner.
 func (f *Fleet) WaitReady(ctx context.Context) error {
-	for {
-		problem := f.notReady(ctx)
-		if problem == "" {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return fmt.Errorf("fleet is not ready: %s", problem)
-		case <-time.After(20 * time.Millisecond):
-		}
-	}
+	return Until(ctx, func() string { return f.notReady(ctx) })
 }
 
 // notReady says why the fleet is not ready, or "".
--- a/standin/targetserver/targetserver.go
+++ b/standin/targetserver/targetserver.go
@@ -56,6 +56,9 @@
 	Connect time.Duration
 	// CheckGrants refuses requests whose grant has expired.
 	CheckGrants bool
+	// IgnoreDeadlines runs requests to their end whatever their deadline, and
+	// whether or not anybody still waits for them.
+	IgnoreDeadlines bool
 }
 
 // Faults are the ways in which a target misbehaves.
@@ -216,6 +219,9 @@
 		refuse(w, target.NotRunFenced)
 		return
 	}
+	ctx, cancel := s.deadline(r)
+	defer cancel()
+	r = r.WithContext(ctx)
 	run := s.begin(r)
 	defer s.end(run)
 	key := strings.TrimPrefix(r.URL.Path, "/")
@@ -229,6 +235,18 @@
 	}
 }
 
+// deadline returns the context that a request runs under.
+func (s *Server) deadline(r *http.Request) (context.Context, context.CancelFunc) {
+	if s.cfg.IgnoreDeadlines {
+		return context.WithoutCancel(r.Context()), func() {}
+	}
+	ms, err := strconv.ParseInt(r.Header.Get(target.HeaderDeadline), 10, 64)
+	if err != nil {
+		return r.Context(), func() {}
+	}
+	return context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
+}
+
 // refuse answers that a request did not run.
 func refuse(w http.ResponseWriter, why string) {
 	w.Header().Set(target.HeaderNotRun, why)
