--- a/core/fleet/apply.go
+++ b/core/fleet/apply.go
@@ -218,12 +218,13 @@
 		svc.setSlot(unit.Slot, next)
 	case carved && next.ID == slotOwner.ID:
 		// The key returns to its slot, whose token grows with it.
+		svc.changes++
 		delete(svc.carved, unit.Key)
 		svc.setSlot(unit.Slot, next)
 	case !carved && len(svc.carved) >= maxCarved:
 		return false
 	default:
-		svc.carved[unit.Key] = next
+		svc.setCarved(unit.Key, next)
 	}
 	return true
 }
--- a/core/fleet/spread.go
+++ b/core/fleet/spread.go
@@ -28,7 +28,7 @@
 		s.setSlot(unit.Slot, owner)
 		return
 	}
-	s.carved[unit.Key] = owner
+	s.setCarved(unit.Key, owner)
 }
 
 // takers returns the members that may receive units of svc, as a heap.
--- a/core/fleet/state.go
+++ b/core/fleet/state.go
@@ -104,6 +104,9 @@
 	slots  []Owner
 	carved map[string]Owner
 	counts map[record.Incarnation]int
+	// changes counts the units that passed from one owner to another since this
+	// process began to fold.
+	changes int
 	// Planner proposes moves in Term.
 	Planner record.Incarnation
 	Term    uint64
@@ -174,9 +177,16 @@
 	return units
 }
 
+// Changes returns how many units have passed from one owner to another since
+// this process began to fold.
+func (s *Service) Changes() int { return s.changes }
+
 // setSlot makes owner the owner of slot and keeps the counts.
 func (s *Service) setSlot(slot int, owner Owner) {
 	if old := s.slots[slot].ID; old != "" {
+		if old != owner.ID {
+			s.changes++
+		}
 		s.counts[old]--
 		if s.counts[old] == 0 {
 			delete(s.counts, old)
@@ -188,6 +198,12 @@
 	}
 }
 
+// setCarved makes owner the owner of a key on its own.
+func (s *Service) setCarved(key string, owner Owner) {
+	s.changes++
+	s.carved[key] = owner
+}
+
 // State is the fold of the log up to an offset. It is not safe for concurrent
 // use.
 type State struct {
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/trace"
+	"gopkg.in/tomb.v2"
 
 	"siskinknot/core/dedup"
 	"siskinknot/core/outcome"
@@ -28,6 +29,7 @@
 	"siskinknot/io/config"
 	"siskinknot/io/forward"
 	"siskinknot/io/member"
+	"siskinknot/io/meter"
 	"siskinknot/io/operator"
 	"siskinknot/io/peer"
 	"siskinknot/io/peer/peerpb"
@@ -50,6 +52,8 @@
 	callers   *http.Server
 	operators *http.Server
 	listeners listeners
+	platform  *platformlog.Log
+	tomb      tomb.Tomb
 }
 
 // listeners are the sockets of a daemon.
@@ -130,6 +134,7 @@
 func (d *Daemon) start(bootID string) {
 	scope := d.telemetry.Scope
 	memory := dedup.New()
+	d.platform = platformlog.New(d.cfg.Log, d.cfg.Daemon.Addr())
 	d.pool = peer.NewPool(d.cfg.Server, d.cfg.Daemon.Addr(), d.log.Named("peer"))
 	d.member = member.New(member.Config{
 		Server:          d.cfg.Server,
@@ -143,7 +148,7 @@
 		SnapshotEvery:   d.cfg.SnapshotEvery.Duration(),
 		SnapshotRecords: d.cfg.SnapshotRecords,
 	}, member.Deps{
-		Log:     platformlog.New(d.cfg.Log, d.cfg.Daemon.Addr()),
+		Log:     d.platform,
 		Pool:    d.pool,
 		Memory:  memory,
 		Metrics: scope,
@@ -158,10 +163,42 @@
 		runner: d.runner,
 		tracer: d.telemetry.Tracer,
 	}, d.log.Named("peer"))
+	d.tomb.Go(func() error {
+		for {
+			select {
+			case <-d.tomb.Dying():
+				return nil
+			case <-time.After(trafficEvery):
+				d.countTraffic()
+			}
+		}
+	})
 	d.callers = serveHTTP(d.listeners.callers, entry.Handler(), d.log.Named("caller"))
 	d.operators = serveHTTP(d.listeners.operators, operator.Handler(d.member, d.telemetry.Metrics), d.log.Named("operator"))
 }
 
+// trafficEvery is how often the counts of bytes are passed to the metrics.
+const trafficEvery = time.Second
+
+// countTraffic passes the counts of bytes to the metrics.
+func (d *Daemon) countTraffic() {
+	report := func(to string, traffic ...*meter.Traffic) {
+		received, sent := int64(0), int64(0)
+		for _, t := range traffic {
+			received += t.Received.Load()
+			sent += t.Sent.Load()
+		}
+		scope := d.telemetry.Scope.Tagged(map[string]string{"with": to})
+		scope.Gauge("bytes_received").Update(float64(received))
+		scope.Gauge("bytes_sent").Update(float64(sent))
+	}
+	report("log", d.platform.Traffic())
+	for _, purpose := range []peer.Purpose{peer.Control, peer.Requests, peer.Bulk} {
+		report(purpose.String(), d.pool.Traffic(purpose), d.peers.Traffic(purpose))
+	}
+	d.telemetry.Scope.Gauge("sessions_open").Update(float64(d.pool.Sessions()))
+}
+
 // headerTimeout bounds the reading of a request's header.
 const headerTimeout = 10 * time.Second
 
@@ -215,6 +252,8 @@
 
 // Close ends the daemon at once.
 func (d *Daemon) Close() {
+	d.tomb.Kill(nil)
+	_ = d.tomb.Wait()
 	_ = d.callers.Close()
 	_ = d.operators.Close()
 	_ = d.watch.Close()
--- a/io/member/status.go
+++ b/io/member/status.go
@@ -57,10 +57,12 @@
 
 // ServiceStatus is a service divided by key.
 type ServiceStatus struct {
-	Name    string             `json:"name"`
-	Slots   int                `json:"slots"`
-	Free    int                `json:"free"`
-	Carved  []string           `json:"carved_keys"`
+	Name   string   `json:"name"`
+	Slots  int      `json:"slots"`
+	Free   int      `json:"free"`
+	Carved []string `json:"carved_keys"`
+	// Changes counts the units that changed owner while this daemon watched.
+	Changes int                `json:"changes"`
 	Planner record.Incarnation `json:"planner"`
 	Term    uint64             `json:"term"`
 }
@@ -140,7 +142,7 @@
 func serviceStatus(svc *fleet.Service) ServiceStatus {
 	st := ServiceStatus{
 		Name: svc.Name, Slots: svc.Slots(), Carved: svc.Carved(),
-		Planner: svc.Planner, Term: svc.Term,
+		Planner: svc.Planner, Term: svc.Term, Changes: svc.Changes(),
 	}
 	for slot := range svc.Slots() {
 		if svc.Slot(slot).ID == "" {
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -27,7 +27,6 @@
 	"fmt"
 	"io"
 	"net"
-	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -102,36 +101,6 @@
 	return cfg
 }
 
-// countingConn counts the bytes of a connection.
-type countingConn struct {
-	net.Conn
-	// heardAt is when data was last received, on the clock of package time in
-	// nanoseconds.
-	heardAt atomic.Int64
-	total   *Traffic
-}
-
-// Read implements net.Conn.
-func (c *countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.heardAt.Store(time.Now().UnixNano())
-	c.total.Received.Add(uint64(n))
-	return n, err
-}
-
-// Write implements net.Conn.
-func (c *countingConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.total.Sent.Add(uint64(n))
-	return n, err
-}
-
-// Traffic counts the bytes of all sessions of one purpose.
-type Traffic struct {
-	Received atomic.Uint64
-	Sent     atomic.Uint64
-}
-
 // Stream carries one call. Writes and reads may be concurrent with one another.
 type Stream struct {
 	raw *yamux.Stream
--- a/io/peer/pool.go
+++ b/io/peer/pool.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 	"gopkg.in/tomb.v2"
 
+	"siskinknot/io/meter"
 	"siskinknot/io/peer/peerpb"
 )
 
@@ -21,7 +22,7 @@
 	server  string
 	dialer  net.Dialer
 	log     hclog.Logger
-	traffic [purposes]Traffic
+	traffic [purposes]meter.Traffic
 	tomb    tomb.Tomb
 
 	mu       sync.Mutex
@@ -62,7 +63,7 @@
 }
 
 // Traffic returns the byte counts of the sessions for purpose.
-func (p *Pool) Traffic(purpose Purpose) *Traffic { return &p.traffic[purpose] }
+func (p *Pool) Traffic(purpose Purpose) *meter.Traffic { return &p.traffic[purpose] }
 
 // Sessions returns the number of open sessions.
 func (p *Pool) Sessions() int {
@@ -208,7 +209,7 @@
 		_ = conn.Close()
 		return eris.Wrapf(err, "greet %s", key.addr)
 	}
-	counted := &countingConn{Conn: conn, total: &p.traffic[key.purpose]}
+	counted := meter.NewConn(conn, &p.traffic[key.purpose])
 	s.mux, err = yamux.Client(counted, yamuxConfig())
 	if err != nil {
 		_ = conn.Close()
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 	"gopkg.in/tomb.v2"
 
+	"siskinknot/io/meter"
 	"siskinknot/io/peer/peerpb"
 )
 
@@ -28,7 +29,7 @@
 	server   string
 	handler  Handler
 	log      hclog.Logger
-	traffic  [purposes]Traffic
+	traffic  [purposes]meter.Traffic
 	tomb     tomb.Tomb
 }
 
@@ -61,7 +62,7 @@
 }
 
 // Traffic returns the byte counts of the sessions for purpose.
-func (s *Server) Traffic(purpose Purpose) *Traffic { return &s.traffic[purpose] }
+func (s *Server) Traffic(purpose Purpose) *meter.Traffic { return &s.traffic[purpose] }
 
 // acceptError returns err unless it comes from Close.
 func (s *Server) acceptError(err error) error {
@@ -79,7 +80,7 @@
 		s.log.Debug("connection refused", "from", conn.RemoteAddr(), "error", err)
 		return
 	}
-	counted := &countingConn{Conn: conn, total: &s.traffic[hello.Purpose]}
+	counted := meter.NewConn(conn, &s.traffic[hello.Purpose])
 	mux, err := yamux.Server(counted, yamuxConfig())
 	if err != nil {
 		s.log.Error("session did not start", "from", conn.RemoteAddr(), "error", err)
--- a/io/peer/watch.go
+++ b/io/peer/watch.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/hashicorp/yamux"
+
+	"siskinknot/io/meter"
 )
 
 // Times of the watch over a session.
@@ -25,14 +27,13 @@
 // pings at once, however slow its target is.
 type watch struct {
 	mux  *yamux.Session
-	conn *countingConn
+	conn *meter.Conn
 	// pingedAt is when the ping under way was sent, on the clock of package
 	// time in nanoseconds; 0 if there is none.
 	pingedAt atomic.Int64
 }
 
-func newWatch(mux *yamux.Session, conn *countingConn) *watch {
-	conn.heardAt.Store(time.Now().UnixNano())
+func newWatch(mux *yamux.Session, conn *meter.Conn) *watch {
 	return &watch{mux: mux, conn: conn}
 }
 
@@ -55,7 +56,7 @@
 		switch {
 		case w.mux.NumStreams() > 0:
 			idleSince = time.Now()
-			if w.quietFor() > watchEvery {
+			if w.conn.QuietFor() > watchEvery {
 				w.ping()
 			}
 		case time.Since(idleSince) > idleLimit:
@@ -64,11 +65,6 @@
 	}
 }
 
-// quietFor returns how long nothing has come from the peer.
-func (w *watch) quietFor() time.Duration {
-	return time.Since(time.Unix(0, w.conn.heardAt.Load()))
-}
-
 // ping sends a ping, unless one is under way, and closes the session if no
 // answer comes.
 func (w *watch) ping() {
@@ -93,7 +89,7 @@
 // answers reports whether the peer seems to answer. If nothing has come from it
 // for a while it is pinged first.
 func (w *watch) answers(ctx context.Context) bool {
-	if w.quietFor() < quietLimit {
+	if w.conn.QuietFor() < quietLimit {
 		return !w.silent()
 	}
 	w.ping()
--- a/io/platformlog/platformlog.go
+++ b/io/platformlog/platformlog.go
@@ -32,6 +32,7 @@
 	"github.com/rotisserie/eris"
 
 	"siskinknot/core/record"
+	"siskinknot/io/meter"
 )
 
 // maxAnswerBytes bounds what one read may return.
@@ -92,28 +93,37 @@
 
 // Log is a client of the log service. It is safe for concurrent use.
 type Log struct {
-	base string
-	http *http.Client
+	base    string
+	http    *http.Client
+	traffic meter.Traffic
 }
 
 // New returns a client of the log service at addr, which connects from the
 // address local.
 func New(addr netip.AddrPort, local netip.Addr) *Log {
+	l := &Log{base: "http://" + addr.String()}
 	dialer := &net.Dialer{
 		Timeout:   connectTimeout,
 		LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(local, 0)),
 	}
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return meter.NewConn(conn, &l.traffic), nil
+		},
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     time.Minute,
 	}
-	return &Log{
-		base: "http://" + addr.String(),
-		http: &http.Client{Transport: transport},
-	}
+	l.http = &http.Client{Transport: transport}
+	return l
 }
 
+// Traffic returns the byte counts of all connections to the log.
+func (l *Log) Traffic() *meter.Traffic { return &l.traffic }
+
 // Close closes idle connections.
 func (l *Log) Close() { l.http.CloseIdleConnections() }
 
--- a/standin/processes/processes.go
+++ b/standin/processes/processes.go
@@ -301,6 +301,28 @@
 	return nil
 }
 
+// Cut makes the connections between the daemon of s and all others behave as
+// the actions say: from it, and to it.
+func (f *Fleet) Cut(s *Server, from, to faultproxy.Action) {
+	for _, other := range f.Servers {
+		if other != s {
+			other.Proxy.SetRule(s.IP, faultproxy.Rule{ToBackend: from, FromBackend: to})
+		}
+	}
+	s.Proxy.SetRule(netip.Addr{}, faultproxy.Rule{ToBackend: to, FromBackend: from})
+}
+
+// CutLog makes the connections of s to the log behave as action says.
+func (f *Fleet) CutLog(s *Server, action faultproxy.Action) {
+	f.LogProxy.SetRule(s.IP, faultproxy.Rule{ToBackend: action, FromBackend: action})
+}
+
+// Heal ends what Cut and CutLog did to s.
+func (f *Fleet) Heal(s *Server) {
+	f.Cut(s, faultproxy.Pass, faultproxy.Pass)
+	f.CutLog(s, faultproxy.Pass)
+}
+
 // WaitReady waits until every daemon that runs holds its lease, all see the
 // same members, and no slot is without owner.
 func (f *Fleet) WaitReady(ctx context.Context) error {
--- a/test/integration/faults_test.go
+++ b/test/integration/faults_test.go
@@ -1,7 +1,6 @@
 package integration
 
 import (
-	"net/netip"
 	"testing"
 	"time"
 
@@ -45,28 +44,6 @@
 	}
 }
 
-// cut makes the connections between a server and all others behave as action
-// says, from it and to it.
-func (r *run) cut(s *processes.Server, from, to faultproxy.Action) {
-	for _, other := range r.fleet.Servers {
-		if other != s {
-			other.Proxy.SetRule(s.IP, faultproxy.Rule{ToBackend: from, FromBackend: to})
-		}
-	}
-	s.Proxy.SetRule(netip.Addr{}, faultproxy.Rule{ToBackend: to, FromBackend: from})
-}
-
-// heal ends what cut and the log's rules do.
-func (r *run) heal(s *processes.Server) {
-	r.cut(s, faultproxy.Pass, faultproxy.Pass)
-	r.fleet.LogProxy.SetRule(s.IP, faultproxy.Rule{})
-}
-
-// cutLog cuts a server from the log.
-func (r *run) cutLog(s *processes.Server, action faultproxy.Action) {
-	r.fleet.LogProxy.SetRule(s.IP, faultproxy.Rule{ToBackend: action, FromBackend: action})
-}
-
 // TestFaults runs lookups and registrations while something fails, and checks
 // the history, the targets' record, and that the fleet recovers.
 func TestFaults(t *testing.T) {
@@ -126,30 +103,30 @@
 			victim.Daemon.Thaw()
 		}},
 		{"cut both ways", func(r *run, victim, _ *processes.Server) {
-			r.cut(victim, faultproxy.Drop, faultproxy.Drop)
-			r.cutLog(victim, faultproxy.Drop)
+			r.fleet.Cut(victim, faultproxy.Drop, faultproxy.Drop)
+			r.fleet.CutLog(victim, faultproxy.Drop)
 			r.gone(victim)
 			settle()
-			r.heal(victim)
+			r.fleet.Heal(victim)
 		}},
 		{"cut one way, from the owner", func(r *run, victim, _ *processes.Server) {
-			r.cut(victim, faultproxy.Drop, faultproxy.Pass)
+			r.fleet.Cut(victim, faultproxy.Drop, faultproxy.Pass)
 			r.gone(victim)
 			settle()
-			r.heal(victim)
+			r.fleet.Heal(victim)
 		}},
 		{"cut one way, to the owner", func(r *run, victim, _ *processes.Server) {
-			r.cut(victim, faultproxy.Pass, faultproxy.Drop)
+			r.fleet.Cut(victim, faultproxy.Pass, faultproxy.Drop)
 			r.gone(victim)
 			settle()
-			r.heal(victim)
+			r.fleet.Heal(victim)
 		}},
 		{"cut from the log only", func(r *run, victim, _ *processes.Server) {
-			r.cutLog(victim, faultproxy.Drop)
+			r.fleet.CutLog(victim, faultproxy.Drop)
 			for range 8 {
 				settle()
 			}
-			r.heal(victim)
+			r.fleet.Heal(victim)
 		}},
 		{"connections fall silent, new ones work", func(r *run, victim, _ *processes.Server) {
 			for range 3 * long {
--- a/test/integration/integration_test.go
+++ b/test/integration/integration_test.go
@@ -77,7 +77,7 @@
 // specs returns the servers of a fleet: registry and archive servers, over
 // three availability zones.
 func specs(registry, archive int, args ...string) []processes.ServerSpec {
-	var list []processes.ServerSpec
+	list := make([]processes.ServerSpec, 0, registry+archive)
 	for i := range registry {
 		list = append(list, processes.ServerSpec{
 			Name: fmt.Sprintf("registry-%d", i+1), Service: "registry", Zone: zone(i), Target: args,
--- a/test/integration/promises_test.go
+++ b/test/integration/promises_test.go
@@ -139,7 +139,7 @@
 func TestSettings(t *testing.T) {
 	fleet := start(t, processes.Options{Servers: specs(3, 1), Proxies: true})
 	cut := fleet.Servers[2]
-	fleet.LogProxy.SetRule(cut.IP, faultproxy.Rule{ToBackend: faultproxy.Drop, FromBackend: faultproxy.Drop})
+	fleet.CutLog(cut, faultproxy.Drop)
 	view, err := fleet.Servers[0].Operator.Settings(within(t), "", false)
 	if err != nil {
 		t.Fatal(err)
@@ -170,7 +170,7 @@
 			t.Errorf("round %d: %d edits accepted, want %d: %+v", round, accepted, want, pair)
 		}
 	}
-	fleet.LogProxy.SetRule(cut.IP, faultproxy.Rule{})
+	fleet.Heal(cut)
 	err = cut.UntilStatus(within(t), func(st member.FleetStatus) string { return processes.InForce(st, base) })
 	if err != nil {
 		t.Fatal(err)
@@ -395,7 +395,7 @@
 	w := startWorkload(t, fleet)
 	w.avoid(cut)
 	r := &run{t: t, fleet: fleet, load: w}
-	r.cutLog(cut, faultproxy.Drop)
+	fleet.CutLog(cut, faultproxy.Drop)
 	r.logFaults(logservice.Faults{Retain: 40})
 	for i := range 60 {
 		edit := settings.Edit{ID: fmt.Sprint("edit-", i), Node: "/registry", Patch: json.RawMessage(`{"values": {"queue_length": 200}}`)}
@@ -407,7 +407,7 @@
 	w.avoid(restarted)
 	restarted.Daemon.Kill()
 	r.restart(restarted)
-	r.heal(cut)
+	fleet.Heal(cut)
 	if err := cut.Daemon.WaitMessage("log forgot records before they were folded"); err != nil {
 		t.Fatal(err)
 	}
