Measure speed, control and recovery with one command

Cause: the promised figures need runs that show them.

Change: standin measure, a program of sections; speed, control and recovery so far.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -9,12 +9,14 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/google/subcommands"
 
 	"siskinknot/standin/demo"
 	"siskinknot/standin/logservice"
+	"siskinknot/standin/measure"
 	"siskinknot/standin/targetserver"
 )
 
@@ -23,6 +25,7 @@
 	subcommands.Register(&logCommand{}, "")
 	subcommands.Register(&targetCommand{}, "")
 	subcommands.Register(&demoCommand{}, "")
+	subcommands.Register(&measureCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
@@ -104,6 +107,37 @@
 	return subcommands.ExitSuccess
 }
 
+// measureCommand takes the measurements.
+type measureCommand struct {
+	opts measure.Options
+	only string
+}
+
+func (*measureCommand) Name() string     { return "measure" }
+func (*measureCommand) Synopsis() string { return "take the measurements" }
+func (*measureCommand) Usage() string {
+	return "measure [-bin DIR] [-json FILE] [-only SECTION,...] [-rounds N]\n"
+}
+
+func (c *measureCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.opts.Bin, "bin", "bin", "directory of the programs")
+	f.StringVar(&c.opts.JSON, "json", "", "file to write the report to")
+	f.StringVar(&c.only, "only", "", "sections to run")
+	f.IntVar(&c.opts.Rounds, "rounds", 3, "repetitions of each measurement")
+}
+
+func (c *measureCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	c.opts.Out = os.Stdout
+	if c.only != "" {
+		c.opts.Only = strings.Split(c.only, ",")
+	}
+	if _, err := measure.Run(ctx, c.opts); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
 // serve prints the address that it listens on and serves until it fails.
 func serve(addr string, server *http.Server) subcommands.ExitStatus {
 	listener, err := net.Listen("tcp", addr)
--- /dev/null
+++ b/standin/measure/fleet.go
@@ -0,0 +1,107 @@
+package measure
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"siskinknot/standin/processes"
+)
+
+// readyTimeout bounds the start of a fleet.
+const readyTimeout = time.Minute
+
+// group describes servers of one service.
+type group struct {
+	service string
+	servers int
+	zones   string
+	args    []string
+}
+
+// specs returns the servers of groups, over three availability zones each.
+func specs(groups ...group) []processes.ServerSpec {
+	var list []processes.ServerSpec
+	for _, g := range groups {
+		for i := range g.servers {
+			list = append(list, processes.ServerSpec{
+				Name:    fmt.Sprintf("%s-%d", g.service, i+1),
+				Service: g.service,
+				Zone:    g.zones + "-" + string("abc"[i%3]),
+				Target:  g.args,
+			})
+		}
+	}
+	return list
+}
+
+// startFleet starts a fleet and waits until it is ready.
+func startFleet(ctx context.Context, opts Options, tree string, proxies bool, servers []processes.ServerSpec) (*processes.Fleet, error) {
+	fleet, err := processes.Start(processes.Options{
+		Bin:     opts.Bin,
+		Servers: servers,
+		Tree:    json.RawMessage(tree),
+		Proxies: proxies,
+		Config:  map[string]any{"tracing": map[string]any{"sample_ratio": 0}},
+	})
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	if err := fleet.WaitReady(ctx); err != nil {
+		fleet.Close()
+		return nil, err
+	}
+	return fleet, nil
+}
+
+// clockTick is the unit of processor time in /proc, in a second.
+const clockTick = 100
+
+// cpu returns the processor time that a process has used.
+func cpu(p *processes.Process) time.Duration {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.Pid()))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(data), ") ")
+	fields := strings.Fields(rest)
+	user, _ := strconv.Atoi(fields[11])
+	system, _ := strconv.Atoi(fields[12])
+	return time.Duration(user+system) * time.Second / clockTick
+}
+
+// resident returns the resident memory of a process, in MiB.
+func resident(p *processes.Process) float64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.Pid()))
+	if err != nil {
+		return 0
+	}
+	pages, _ := strconv.Atoi(strings.Fields(string(data))[1])
+	return float64(pages*os.Getpagesize()) / (1 << 20)
+}
+
+// metrics returns the metrics of a daemon by name with labels.
+func metrics(s *processes.Server) (map[string]float64, error) {
+	resp, err := http.Get("http://" + s.OpAddr.String() + "/metrics")
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	values := map[string]float64{}
+	scanner := bufio.NewScanner(resp.Body)
+	for scanner.Scan() {
+		name, text, ok := strings.Cut(scanner.Text(), " ")
+		if value, err := strconv.ParseFloat(text, 64); ok && err == nil {
+			values[name] = value
+		}
+	}
+	return values, scanner.Err()
+}
--- a/standin/processes/processes.go
+++ b/standin/processes/processes.go
@@ -32,6 +32,7 @@
 	"syscall"
 	"time"
 
+	"siskinknot/core/record"
 	"siskinknot/core/settings"
 	"siskinknot/io/member"
 	"siskinknot/io/operator"
@@ -301,6 +302,16 @@
 	return nil
 }
 
+// ServerOf returns the server of an incarnation, or nil.
+func (f *Fleet) ServerOf(id record.Incarnation) *Server {
+	for _, s := range f.Servers {
+		if strings.HasPrefix(string(id), s.Spec.Name+"#") {
+			return s
+		}
+	}
+	return nil
+}
+
 // Cut makes the connections between the daemon of s and all others behave as
 // the actions say: from it, and to it.
 func (f *Fleet) Cut(s *Server, from, to faultproxy.Action) {
