Carry many calls on one stream of the inner protocol

Cause: after batching, a lookup still opened and closed a yamux stream, which costs two frames and some twenty allocations at each end, and two new goroutines at the owner, whose stacks grow anew each time.

Ruled out: one stream for all requests of a session (a slow answer would hold up the others).

Change: a stream whose call ended in good order is kept for the next one; at the owner one task reads a stream and one serves it. A stream that is closed still cancels its call. Sessions are watched only while a call is under way.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -281,8 +281,8 @@
 }
 
 // Forward implements peer.Handler.
-func (h *handler) Forward(ctx context.Context, fwd *peerpb.Forward, stream *peer.Stream) {
-	forward.Serve(ctx, fwd, stream, func(ctx context.Context, head *request.Head, ex forward.Exchange) outcome.Result {
+func (h *handler) Forward(ctx context.Context, in *peer.Incoming) {
+	forward.Serve(ctx, in, func(ctx context.Context, head *request.Head, ex forward.Exchange) outcome.Result {
 		ctx, span := h.tracer.Start(ctx, "owner", trace.WithSpanKind(trace.SpanKindServer))
 		defer span.End()
 		return h.runner.Run(ctx, head, ex)
--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -12,11 +12,12 @@
 // # Usage
 //
 //	result := forward.Send(ctx, pool, addr, head, body, sink)   // at the entry
-//	forward.Serve(ctx, fwd, stream, run)                        // at the owner
+//	forward.Serve(ctx, incoming, run)                           // at the owner
 package forward
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/netip"
@@ -91,13 +92,43 @@
 		}
 		return outcome.NotRun{Reason: outcome.Unreachable}
 	}
-	defer func() { _ = stream.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
-	defer stop()
+	res, clean := exchange(ctx, stream, head, body, sink)
+	if stop() && clean {
+		stream.Done()
+	} else {
+		_ = stream.Close()
+	}
+	return res
+}
+
+// exchange sends a request and receives its answer. It reports whether the
+// stream is clean: nothing of the call can follow on it.
+func exchange(ctx context.Context, stream *peer.Stream, head *request.Head, body *Body, sink Sink) (outcome.Result, bool) {
 	if err := stream.Write(&peerpb.Call{Kind: &peerpb.Call_Forward{Forward: message(ctx, head, body)}}); err != nil {
-		return outcome.Unknown{Reason: outcome.ConnectionCut}
+		return outcome.Unknown{Reason: outcome.ConnectionCut}, false
+	}
+	var sent chan bool
+	var part peerpb.Part
+	for {
+		part.Reset()
+		if err := stream.Read(&part); err != nil {
+			stopBody(stream, body, sent)
+			return cut(ctx), false
+		}
+		if part.Admitted && !body.IsInline {
+			sent = make(chan bool, 1)
+			go func() { sent <- sendBody(stream, body.Stream) }()
+			body.Taken = true
+		}
+		if err := deliver(&part, sink); err != nil {
+			stopBody(stream, body, sent)
+			return outcome.Unknown{Reason: outcome.Cancelled}, false
+		}
+		if part.Last {
+			return fromEnd(part.End), body.IsInline || stopBody(stream, body, sent)
+		}
 	}
-	return receive(ctx, stream, body, sink)
 }
 
 // message returns the Forward of a request.
@@ -123,42 +154,21 @@
 	return fwd
 }
 
-// receive reads the parts of the answer.
-func receive(ctx context.Context, stream *peer.Stream, body *Body, sink Sink) outcome.Result {
-	var part peerpb.Part
-	for {
-		part.Reset()
-		if err := stream.Read(&part); err != nil {
-			return cut(ctx)
-		}
-		if part.Admitted && !body.IsInline {
-			body.Taken = true
-			stopped := make(chan struct{})
-			defer stopBody(stream, body, stopped)
-			go func() {
-				defer close(stopped)
-				sendBody(stream, body.Stream)
-			}()
-		}
-		if err := deliver(&part, sink); err != nil {
-			return outcome.Unknown{Reason: outcome.Cancelled}
-		}
-		if part.Last {
-			return fromEnd(part.End)
-		}
+// stopBody ends the sending of the body, if the answer came before its end, and
+// reports whether all of it had been sent. sent is nil if sending never began.
+func stopBody(stream *peer.Stream, body *Body, sent <-chan bool) bool {
+	if sent == nil {
+		return false
 	}
-}
-
-// stopBody ends the sending of the body, if the answer came before its end.
-func stopBody(stream *peer.Stream, body *Body, stopped <-chan struct{}) {
 	select {
-	case <-stopped:
-		return
+	case whole := <-sent:
+		return whole
 	default:
 	}
 	_ = stream.SetDeadline(time.Unix(1, 0))
 	body.Abort()
-	<-stopped
+	<-sent
+	return false
 }
 
 // cut returns the result of a stream that ended without an End.
@@ -185,28 +195,33 @@
 	return nil
 }
 
-// sendBody sends the body in pieces. If it breaks off, the stream is closed
-// without a last part, which tells the owner that the caller is gone.
-func sendBody(stream *peer.Stream, body io.Reader) {
+// sendBody sends the body in pieces and reports whether all of it was sent. If it
+// breaks off, the stream is closed without a last part, which tells the owner
+// that the caller is gone.
+func sendBody(stream *peer.Stream, body io.Reader) bool {
 	buf := make([]byte, peer.PartBytes)
 	for {
 		n, err := body.Read(buf)
 		if n > 0 {
-			if werr := stream.Write(&peerpb.Part{Data: buf[:n]}); werr != nil {
-				return
+			if werr := stream.Write(partOf(&peerpb.Part{Data: buf[:n]})); werr != nil {
+				return false
 			}
 		}
-		if err == io.EOF {
-			_ = stream.Write(&peerpb.Part{Last: true})
-			return
+		if errors.Is(err, io.EOF) {
+			return stream.Write(partOf(&peerpb.Part{Last: true})) == nil
 		}
 		if err != nil {
 			_ = stream.Close()
-			return
+			return false
 		}
 	}
 }
 
+// partOf returns the message that carries a part of a body.
+func partOf(part *peerpb.Part) *peerpb.Call {
+	return &peerpb.Call{Kind: &peerpb.Call_Part{Part: part}}
+}
+
 // toHeaders returns h in the form of the protocol.
 func toHeaders(h http.Header) []*peerpb.Header {
 	list := make([]*peerpb.Header, 0, len(h))
--- a/io/forward/serve.go
+++ b/io/forward/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -26,58 +25,19 @@
 // Run runs a request at the owner.
 type Run func(ctx context.Context, head *request.Head, ex Exchange) outcome.Result
 
-// Serve runs a forwarded request and ends its stream.
-func Serve(ctx context.Context, fwd *peerpb.Forward, stream *peer.Stream, run Run) {
+// Serve runs a forwarded request and ends it.
+func Serve(ctx context.Context, in *peer.Incoming, run Run) {
+	fwd := in.Forward
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(fwd.TimeoutUs)*time.Microsecond)
 	defer cancel()
 	ctx = otel.GetTextMapPropagator().Extract(ctx, propagation.MapCarrier{"traceparent": fwd.Traceparent})
-	ex := &streamExchange{stream: stream, fwd: fwd}
+	ex := &streamExchange{in: in}
 	head := headOf(fwd)
 	if err := head.Check(); err != nil {
 		ex.end(outcome.NotRun{Reason: outcome.Malformed})
 		return
 	}
-	reader, pipe := io.Pipe()
-	ex.body = reader
-	gone := make(chan struct{})
-	go func() {
-		defer close(gone)
-		readParts(stream, pipe)
-		cancel()
-	}()
 	ex.end(run(ctx, head, ex))
-	_ = reader.CloseWithError(errAnswered)
-	_ = stream.Close()
-	_ = stream.SetReadDeadline(time.Now().Add(lingerTimeout))
-	<-gone
-}
-
-// lingerTimeout is how long an owner waits for the entry to close its side.
-const lingerTimeout = time.Second
-
-var (
-	errAnswered = errors.New("the request was answered")
-	errCutOff   = errors.New("the body was cut off")
-)
-
-// readParts feeds the parts of the body to pipe, and returns once the entry has
-// closed its side.
-func readParts(stream *peer.Stream, pipe *io.PipeWriter) {
-	var part peerpb.Part
-	for {
-		part.Reset()
-		if err := stream.Read(&part); err != nil {
-			_ = pipe.CloseWithError(errCutOff)
-			return
-		}
-		if len(part.Data) > 0 {
-			// After the answer the pipe is closed, and the rest is discarded.
-			_, _ = pipe.Write(part.Data)
-		}
-		if part.Last {
-			_ = pipe.Close()
-		}
-	}
 }
 
 // headOf returns the request that fwd describes.
@@ -100,18 +60,16 @@
 // streamExchange passes an answer to the entry. It holds back small answers, to
 // send them with their end in one message.
 type streamExchange struct {
-	stream  *peer.Stream
-	fwd     *peerpb.Forward
-	body    io.Reader
+	in      *peer.Incoming
 	pending *peerpb.Part
 }
 
 // Body implements Exchange.
 func (e *streamExchange) Body() (io.Reader, error) {
-	if e.fwd.Inline {
-		return &bytesReader{data: e.fwd.Body}, nil
+	if e.in.Forward.Inline {
+		return &bytesReader{data: e.in.Forward.Body}, nil
 	}
-	return e.body, e.stream.Write(&peerpb.Part{Admitted: true})
+	return e.in.Body(), e.in.Write(&peerpb.Part{Admitted: true})
 }
 
 // Head implements Sink.
@@ -136,7 +94,7 @@
 	if err := e.flush(); err != nil {
 		return err
 	}
-	return e.stream.Write(&peerpb.Part{Data: data})
+	return e.in.Write(&peerpb.Part{Data: data})
 }
 
 // flush sends what is held back.
@@ -146,7 +104,7 @@
 	}
 	part := e.pending
 	e.pending = nil
-	return e.stream.Write(part)
+	return e.in.Write(part)
 }
 
 // end sends the outcome, with what is held back.
@@ -157,5 +115,5 @@
 	}
 	part.Last = true
 	part.End = toEnd(res)
-	_ = e.stream.Write(part)
+	_ = e.in.Write(part)
 }
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -2,10 +2,11 @@
 // another.
 //
 // A connection opens with a Hello and a HelloAnswer, which carry the protocol's
-// version, and then carries a yamux session. Each call is a yamux stream: the
-// caller writes a Call, and reads either one Reply or, for a Forward, the Parts
-// of an answer that ends with an End. Messages are protobuf, each preceded by
-// its length as a varint.
+// version, and then carries a yamux session. Calls travel on yamux streams, one
+// after the other on each: the caller writes a Call, and reads either one Reply
+// or, for a Forward, the Parts of an answer that ends with an End. A stream that
+// is closed before that cancels its call. Messages are protobuf, each preceded
+// by its length as a varint.
 //
 // Sessions are opened on demand, one for each peer and Purpose, so that bulk
 // data cannot delay other requests, nor requests the renewals of leases. A
@@ -80,6 +81,8 @@
 	handshakeTimeout = time.Second
 	// pingTimeout bounds a ping and a blocked write.
 	pingTimeout = 600 * time.Millisecond
+	// maxIdleStreams is the most streams of a session that are kept.
+	maxIdleStreams = 256
 )
 
 // NewIncarnation returns a name for a run of the daemon of server.
@@ -101,10 +104,14 @@
 	return cfg
 }
 
-// Stream carries one call. Writes and reads may be concurrent with one another.
+// Stream carries calls, one after the other. Writes and reads may be concurrent
+// with one another. The side that made the calls ends the stream with Close, or
+// with Done if the last call came to its end and nothing of it can follow.
 type Stream struct {
 	raw *yamux.Stream
 	in  *bufio.Reader
+	// session is the session of the side that makes the calls.
+	session *session
 }
 
 func newStream(raw *yamux.Stream) *Stream {
@@ -130,7 +137,10 @@
 // SetReadDeadline bounds reads; t is on the clock of package time.
 func (s *Stream) SetReadDeadline(t time.Time) error { return s.raw.SetReadDeadline(t) }
 
-// Close ends the call in both directions.
+// Done keeps the stream for a later call.
+func (s *Stream) Done() { s.session.putStream(s) }
+
+// Close ends the stream in both directions.
 func (s *Stream) Close() error { return s.raw.Close() }
 
 // readMessage reads a message of at most limit bytes.
--- a/io/peer/pool.go
+++ b/io/peer/pool.go
@@ -41,6 +41,48 @@
 	mux   *yamux.Session
 	watch *watch
 	err   error
+
+	mu sync.Mutex
+	// idle are the streams whose last call has ended, latest last.
+	idle []*Stream
+}
+
+// takeStream returns an idle stream, or a new one.
+func (s *session) takeStream() (*Stream, error) {
+	s.mu.Lock()
+	if n := len(s.idle); n > 0 {
+		stream := s.idle[n-1]
+		s.idle = s.idle[:n-1]
+		s.mu.Unlock()
+		return stream, nil
+	}
+	s.mu.Unlock()
+	raw, err := s.mux.OpenStream()
+	if err != nil {
+		return nil, err
+	}
+	stream := newStream(raw)
+	stream.session = s
+	return stream, nil
+}
+
+// putStream keeps a stream whose last call has ended in good order.
+func (s *session) putStream(stream *Stream) {
+	s.mu.Lock()
+	if len(s.idle) < maxIdleStreams {
+		s.idle = append(s.idle, stream)
+		s.mu.Unlock()
+		return
+	}
+	s.mu.Unlock()
+	_ = stream.Close()
+}
+
+// busy returns the number of streams with a call under way.
+func (s *session) busy() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mux.NumStreams() - len(s.idle)
 }
 
 // NewPool returns an empty pool for the daemon of server, which connects from
@@ -105,10 +147,11 @@
 		if !s.watch.answers(ctx) {
 			return nil, eris.Wrapf(errSilent, "open stream to %s", addr)
 		}
-		var raw *yamux.Stream
-		raw, err = s.mux.OpenStream()
+		var stream *Stream
+		stream, err = s.takeStream()
 		if err == nil {
-			return newStream(raw), nil
+			s.watch.wake()
+			return stream, nil
 		}
 		p.drop(sessionKey{addr, purpose}, s)
 	}
@@ -121,16 +164,17 @@
 	if err != nil {
 		return nil, err
 	}
-	defer func() { _ = stream.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
-	defer stop()
-	if err := stream.Write(call); err != nil {
-		return nil, err
-	}
 	var reply peerpb.Reply
-	if err := readMessage(stream.in, &reply, maxStateBytes); err != nil {
-		return nil, eris.Wrapf(err, "read reply from %s", addr)
+	err = stream.Write(call)
+	if err == nil {
+		err = readMessage(stream.in, &reply, maxStateBytes)
+	}
+	if !stop() || err != nil {
+		_ = stream.Close()
+		return nil, eris.Wrapf(err, "call to %s", addr)
 	}
+	stream.Done()
 	if reply.Error != "" {
 		return nil, eris.Errorf("%s refused the call: %s", addr, reply.Error)
 	}
@@ -215,7 +259,7 @@
 		_ = conn.Close()
 		return eris.Wrapf(err, "start session with %s", key.addr)
 	}
-	s.watch = newWatch(s.mux, counted)
+	s.watch = newWatch(s.mux, counted, s.busy)
 	return nil
 }
 
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -18,9 +18,9 @@
 type Handler interface {
 	// Answer serves every call but a Forward.
 	Answer(ctx context.Context, call *peerpb.Call) *peerpb.Reply
-	// Forward serves a forwarded request on its stream, and ends it with a
-	// Part that carries an End.
-	Forward(ctx context.Context, fwd *peerpb.Forward, stream *Stream)
+	// Forward serves a forwarded request and ends it with a Part that carries
+	// an End. ctx ends when the other side is gone.
+	Forward(ctx context.Context, in *Incoming)
 }
 
 // Server accepts the sessions of other daemons.
@@ -87,7 +87,11 @@
 		return
 	}
 	s.tomb.Go(func() error {
-		newWatch(mux, counted).run(s.tomb.Dying())
+		select {
+		case <-s.tomb.Dying():
+		case <-mux.CloseChan():
+		}
+		_ = mux.Close()
 		return nil
 	})
 	for {
@@ -102,21 +106,47 @@
 	}
 }
 
-// serveStream is the task of one call.
+// serveStream is the task of one stream: it reads one call after the other, and
+// the parts of a forwarded request while that is being served.
 func (s *Server) serveStream(stream *Stream) {
 	defer func() { _ = stream.Close() }()
-	var call peerpb.Call
-	if err := stream.Read(&call); err != nil {
-		if !eris.Is(err, io.EOF) {
-			s.log.Debug("call does not parse", "error", err)
+	work := make(chan *Incoming)
+	defer close(work)
+	var current *Incoming
+	defer func() { current.abandon() }()
+	for {
+		call := &peerpb.Call{}
+		if err := stream.Read(call); err != nil {
+			if !eris.Is(err, io.EOF) {
+				s.log.Debug("call does not parse", "error", err)
+			}
+			return
+		}
+		switch kind := call.Kind.(type) {
+		case *peerpb.Call_Forward:
+			first := current == nil
+			current = newIncoming(kind.Forward, stream)
+			if first {
+				s.tomb.Go(func() error {
+					s.serveForwards(work)
+					return nil
+				})
+			}
+			work <- current
+		case *peerpb.Call_Part:
+			current.deliver(kind.Part)
+		default:
+			if stream.Write(s.handler.Answer(context.Background(), call)) != nil {
+				return
+			}
 		}
-		return
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	if fwd, ok := call.Kind.(*peerpb.Call_Forward); ok {
-		s.handler.Forward(ctx, fwd.Forward, stream)
-		return
+}
+
+// serveForwards is the task that serves the forwarded requests of a stream.
+func (s *Server) serveForwards(work <-chan *Incoming) {
+	for in := range work {
+		s.handler.Forward(in.ctx, in)
+		in.finish()
 	}
-	_ = stream.Write(s.handler.Answer(ctx, &call))
 }
--- a/io/peer/watch.go
+++ b/io/peer/watch.go
@@ -19,7 +19,7 @@
 	// quietLimit is how long nothing may have come from the peer before the
 	// next call waits for a ping.
 	quietLimit = time.Second
-	// idleLimit is how long a session without streams is kept.
+	// idleLimit is how long a session without calls is kept.
 	idleLimit = 30 * time.Second
 )
 
@@ -28,40 +28,70 @@
 type watch struct {
 	mux  *yamux.Session
 	conn *meter.Conn
+	// busy returns the number of calls under way.
+	busy func() int
+	// woken tells run that a call has begun.
+	woken chan struct{}
 	// pingedAt is when the ping under way was sent, on the clock of package
 	// time in nanoseconds; 0 if there is none.
 	pingedAt atomic.Int64
 }
 
-func newWatch(mux *yamux.Session, conn *meter.Conn) *watch {
-	return &watch{mux: mux, conn: conn}
+func newWatch(mux *yamux.Session, conn *meter.Conn, busy func() int) *watch {
+	return &watch{mux: mux, conn: conn, busy: busy, woken: make(chan struct{}, 1)}
 }
 
-// run pings the peer while there are streams and nothing is received. It closes
-// the session when a ping fails, when the session is idle for long, or when
-// dying is closed.
+// wake tells the watch that a call has begun.
+func (w *watch) wake() {
+	select {
+	case w.woken <- struct{}{}:
+	default:
+	}
+}
+
+// run pings the peer while there are calls and nothing is received. It closes
+// the session when a ping fails, when there have been no calls for idleLimit, or
+// when dying is closed.
 func (w *watch) run(dying <-chan struct{}) {
 	defer func() { _ = w.mux.Close() }()
-	ticker := time.NewTicker(watchEvery)
-	defer ticker.Stop()
-	idleSince := time.Now()
+	timer := time.NewTimer(idleLimit)
+	defer timer.Stop()
 	for {
 		select {
-		case <-ticker.C:
+		case <-w.woken:
+		case <-timer.C:
+			if w.busy() == 0 {
+				return
+			}
 		case <-w.mux.CloseChan():
 			return
 		case <-dying:
 			return
 		}
-		switch {
-		case w.mux.NumStreams() > 0:
-			idleSince = time.Now()
-			if w.conn.QuietFor() > watchEvery {
-				w.ping()
-			}
-		case time.Since(idleSince) > idleLimit:
+		if !w.whileBusy(dying) {
 			return
 		}
+		timer.Reset(idleLimit)
+	}
+}
+
+// whileBusy looks after the session until no call is under way, and reports
+// whether it is still open.
+func (w *watch) whileBusy(dying <-chan struct{}) bool {
+	for {
+		select {
+		case <-time.After(watchEvery):
+		case <-w.mux.CloseChan():
+			return false
+		case <-dying:
+			return false
+		}
+		if w.busy() == 0 {
+			return true
+		}
+		if w.conn.QuietFor() > watchEvery {
+			w.ping()
+		}
 	}
 }
 
