Measure load scenarios, balance and the choice of shared targets

Cause: what the policies of load are worth has to be shown against the same limits with the policies off.

--- a/Makefile
+++ b/Makefile
@@ -40,3 +40,8 @@
 
 generate:
 	protoc --go_out=. --go_opt=module=siskinknot io/peer/peerpb/peer.proto
+
+measure: build
+	mkdir -p out
+	bin/standin measure -bin bin -json out/measure.json
+	$(GO) test -run '^$$' -bench . -benchmem ./core/...
--- a/standin/measure/report.go
+++ b/standin/measure/report.go
@@ -60,6 +60,9 @@
 	{"cost", requestCost},
 	{"control", control},
 	{"recovery", recovery},
+	{"scenarios", scenarios},
+	{"balance", balancing},
+	{"shared", shared},
 }
 
 // Run takes the measurements that opts name.
