--- a/core/fleet/snapshot.go
+++ b/core/fleet/snapshot.go
@@ -1,8 +1,11 @@
 package fleet
 
 import (
+	"bytes"
+	"compress/gzip"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/netip"
 	"sort"
 
@@ -44,14 +47,15 @@
 	Slots   int                `json:"slots"`
 	Planner record.Incarnation `json:"planner"`
 	Term    uint64             `json:"term"`
-	// Runs are the owners of the slots, in order, equal neighbours once.
-	Runs   []runImage   `json:"runs"`
+	// Groups are the owned slots, those with the same owner and token together.
+	Groups []groupImage `json:"groups"`
 	Carved []ownedImage `json:"carved"`
 }
 
-type runImage struct {
-	Length int `json:"length"`
+type groupImage struct {
 	ownerImage
+	// Steps are the slots in order, each as the difference to the one before.
+	Steps []int `json:"steps"`
 }
 
 type ownedImage struct {
@@ -66,8 +70,12 @@
 	Cause Cause  `json:"cause"`
 }
 
-// Encode returns the state as JSON, for a snapshot or for a starting daemon.
-func (s *State) Encode() (json.RawMessage, error) {
+// maxImageBytes bounds the JSON form of a state.
+const maxImageBytes = 64 << 20
+
+// Encode returns the state as compressed JSON, for a snapshot or for a starting
+// daemon.
+func (s *State) Encode() ([]byte, error) {
 	img := image{
 		Next:       s.next,
 		SnapshotAt: s.snapshotAt,
@@ -82,11 +90,15 @@
 	for _, name := range s.serviceNames() {
 		img.Services = append(img.Services, s.services[name].image(index))
 	}
-	data, err := json.Marshal(img)
-	if err != nil {
+	var out bytes.Buffer
+	zip := gzip.NewWriter(&out)
+	if err := json.NewEncoder(zip).Encode(img); err != nil {
 		return nil, fmt.Errorf("encode state at offset %d: %w", s.next, err)
 	}
-	return data, nil
+	if err := zip.Close(); err != nil {
+		return nil, fmt.Errorf("encode state at offset %d: %w", s.next, err)
+	}
+	return out.Bytes(), nil
 }
 
 // serviceNames returns the names of the services divided by key, in order.
@@ -126,12 +138,20 @@
 // image returns the JSON form of svc; index numbers the members.
 func (s *Service) image(index map[record.Incarnation]int) serviceImage {
 	img := serviceImage{Name: s.Name, Slots: len(s.slots), Planner: s.Planner, Term: s.Term}
-	for i, owner := range s.slots {
-		if i > 0 && owner == s.slots[i-1] {
-			img.Runs[len(img.Runs)-1].Length++
+	groups := map[Owner]int{}
+	last := map[Owner]int{}
+	for slot, owner := range s.slots {
+		if owner.ID == "" {
 			continue
 		}
-		img.Runs = append(img.Runs, runImage{Length: 1, ownerImage: owner.image(index)})
+		n, ok := groups[owner]
+		if !ok {
+			n = len(img.Groups)
+			groups[owner] = n
+			img.Groups = append(img.Groups, groupImage{ownerImage: owner.image(index)})
+		}
+		img.Groups[n].Steps = append(img.Groups[n].Steps, slot-last[owner])
+		last[owner] = slot
 	}
 	for _, key := range s.Carved() {
 		img.Carved = append(img.Carved, ownedImage{Key: key, ownerImage: s.carved[key].image(index)})
@@ -145,9 +165,13 @@
 }
 
 // Decode returns the state that Encode made data from.
-func Decode(data json.RawMessage) (*State, error) {
+func Decode(data []byte) (*State, error) {
+	zip, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return nil, fmt.Errorf("decode state: %w", err)
+	}
 	var img image
-	if err := json.Unmarshal(data, &img); err != nil {
+	if err := json.NewDecoder(io.LimitReader(zip, maxImageBytes)).Decode(&img); err != nil {
 		return nil, fmt.Errorf("decode state: %w", err)
 	}
 	tree, err := settings.FromImage(img.Settings)
@@ -182,23 +206,21 @@
 	svc := newService(img.Name, img.Slots)
 	svc.Planner = img.Planner
 	svc.Term = img.Term
-	slot := 0
-	for _, run := range img.Runs {
-		owner, err := run.owner(members)
+	for _, group := range img.Groups {
+		owner, err := group.owner(members)
 		if err != nil {
 			return fmt.Errorf("service %q: %w", img.Name, err)
 		}
-		if run.Length < 1 || run.Length > img.Slots-slot {
-			return fmt.Errorf("service %q: run of %d slots at slot %d of %d", img.Name, run.Length, slot, img.Slots)
-		}
-		for range run.Length {
+		slot := 0
+		for _, step := range group.Steps {
+			slot += step
+			if step < 0 || slot >= img.Slots {
+				return fmt.Errorf("service %q: step %d leads to slot %d of %d", img.Name, step, slot, img.Slots)
+			}
 			svc.setSlot(slot, owner)
-			slot++
 		}
 	}
-	if slot != img.Slots {
-		return fmt.Errorf("service %q: %d of %d slots have a run", img.Name, slot, img.Slots)
-	}
+	svc.changes = 0
 	for _, owned := range img.Carved {
 		owner, err := owned.owner(members)
 		if err != nil {
--- a/core/fleet/state.go
+++ b/core/fleet/state.go
@@ -28,7 +28,9 @@
 package fleet
 
 import (
+	"fmt"
 	"net/netip"
+	"slices"
 	"sort"
 	"time"
 
@@ -79,16 +81,40 @@
 }
 
 // Cause says which kind of record made a server the owner of a unit.
-type Cause string
+type Cause uint8
 
 // The causes.
 const (
-	ByAssign  Cause = "assign"
-	ByRelease Cause = "release"
-	ByRevoke  Cause = "revoke"
-	ByHeir    Cause = "revoke_by_heir"
+	NoCause Cause = iota // the unit has no owner
+	ByAssign
+	ByRelease
+	ByRevoke
+	ByHeir
 )
 
+var causeNames = [...]string{"none", "assign", "release", "revoke", "revoke_by_heir"}
+
+// String returns the cause's name.
+func (c Cause) String() string {
+	if int(c) >= len(causeNames) {
+		return fmt.Sprintf("cause(%d)", uint8(c))
+	}
+	return causeNames[c]
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (c Cause) MarshalText() ([]byte, error) { return []byte(c.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (c *Cause) UnmarshalText(text []byte) error {
+	i := slices.Index(causeNames[:], string(text))
+	if i < 0 {
+		return fmt.Errorf("cause %q does not exist", text)
+	}
+	*c = Cause(i)
+	return nil
+}
+
 // Owner is the owner of a unit.
 type Owner struct {
 	// ID is empty if the unit has no owner.
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -143,9 +143,10 @@
 
 // Snapshot stands for all records before AsOf.
 type Snapshot struct {
-	By    Incarnation     `json:"by"`
-	AsOf  uint64          `json:"as_of"`
-	State json.RawMessage `json:"state"`
+	By   Incarnation `json:"by"`
+	AsOf uint64      `json:"as_of"`
+	// State is the state in the compressed form of package fleet.
+	State []byte `json:"state"`
 }
 
 func (Announce) kind() string  { return "announce" }
--- a/test/integration/promises_test.go
+++ b/test/integration/promises_test.go
@@ -488,7 +488,7 @@
 	fleet := start(t, processes.Options{Servers: specs(3, 1)})
 	client := fleet.Servers[3].Operator
 	ex, err := client.Explain(within(t), "registry", "rosa/alba")
-	if err != nil || ex.Owner == "" || ex.Cause == "" || len(ex.Records) == 0 {
+	if err != nil || ex.Owner == "" || ex.Cause == 0 || len(ex.Records) == 0 {
 		t.Errorf("explanation %+v, %v", ex, err)
 	}
 	view, err := client.Settings(within(t), "/registry", true)
