--- /dev/null
+++ b/core/balance/balance_test.go
@@ -0,0 +1,123 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"siskinknot/core/record"
+)
+
+var policy = Policy{Threshold: 0.15, MaxMoves: 8, HotKeyShare: 0.15}
+
+// idle returns n servers with slots spread in order.
+func idle(n, slots int) ([]Server, []Unit) {
+	var servers []Server
+	for i := range n {
+		servers = append(servers, Server{ID: record.Incarnation(fmt.Sprint("s", i)), Slots: 10})
+	}
+	var units []Unit
+	for slot := range slots {
+		units = append(units, Unit{Unit: record.Unit{Slot: slot}, Owner: servers[slot%n].ID, Rested: true})
+	}
+	return servers, units
+}
+
+func TestPlan(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(servers *[]Server, units *[]Unit)
+		policy Policy
+		want   string // the first move, empty for none
+	}{
+		{"nothing to do", func(*[]Server, *[]Unit) {}, policy, ""},
+		{"below the threshold", func(_ *[]Server, u *[]Unit) {
+			for i := range *u {
+				(*u)[i].Busy = time.Second
+			}
+			(*u)[0].Busy = 1100 * time.Millisecond
+		}, policy, ""},
+		{"the slot that helps most", func(_ *[]Server, u *[]Unit) {
+			(*u)[0].Busy, (*u)[3].Busy = 4*time.Second, 3*time.Second
+		}, policy, "slot 0 to s1"},
+		{"a slot that has just moved stays", func(_ *[]Server, u *[]Unit) {
+			(*u)[0].Busy, (*u)[3].Busy = 4*time.Second, 3*time.Second
+			(*u)[0].Rested = false
+		}, policy, "slot 3 to s1"},
+		{"one hot slot alone does not move to and fro", func(_ *[]Server, u *[]Unit) {
+			(*u)[0].Busy = 4 * time.Second
+			for i := 3; i < len(*u); i += 3 {
+				(*u)[i].Owner = "s1"
+			}
+		}, policy, ""},
+		{"a hot key is carved out", func(_ *[]Server, u *[]Unit) {
+			(*u)[0].Busy, (*u)[3].Busy = 6*time.Second, 100*time.Millisecond
+			*u = append(*u, Unit{Unit: record.Unit{Slot: 0, Key: "hot"}, Owner: "s0", Busy: 3 * time.Second, Hot: true, Rested: true})
+			(*u)[0].Rested = false
+		}, policy, "key hot to s1"},
+		{"not without the policy", func(_ *[]Server, u *[]Unit) {
+			(*u)[0].Busy = 6 * time.Second
+			*u = append(*u, Unit{Unit: record.Unit{Slot: 0, Key: "hot"}, Owner: "s0", Busy: 3 * time.Second, Hot: true, Rested: true})
+			(*u)[0].Rested = false
+		}, Policy{Threshold: 2, MaxMoves: 8}, ""},
+		{"a cool key returns to its slot", func(_ *[]Server, u *[]Unit) {
+			*u = append(*u, Unit{Unit: record.Unit{Slot: 0, Key: "cool"}, Owner: "s2", Rested: true})
+		}, policy, "key cool to s0"},
+		{"a server that joins gets slots", func(s *[]Server, _ *[]Unit) {
+			*s = append(*s, Server{ID: "new", Slots: 10})
+		}, policy, "slot 0 to new"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			servers, units := idle(3, 12)
+			tt.change(&servers, &units)
+			got := ""
+			if moves := Plan(servers, units, tt.policy); len(moves) > 0 {
+				got = fmt.Sprintf("slot %d to %s", moves[0].Slot, moves[0].To)
+				if moves[0].Key != "" {
+					got = fmt.Sprintf("key %s to %s", moves[0].Key, moves[0].To)
+				}
+			}
+			require.Equal(t, tt.want, got)
+		})
+	}
+}
+
+// TestPlanHelps checks on random loads that a plan never makes the imbalance
+// worse, moves no unit twice and stays within its bound.
+func TestPlanHelps(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		servers, units := idle(rapid.IntRange(2, 9).Draw(t, "servers"), 32)
+		for i := range units {
+			units[i].Busy = time.Duration(rapid.IntRange(0, 3000).Draw(t, "busy")) * time.Millisecond
+		}
+		before := Imbalance(servers, units)
+		moves := Plan(servers, units, policy)
+		if len(moves) > policy.MaxMoves {
+			t.Fatalf("%d moves", len(moves))
+		}
+		for _, m := range moves {
+			if units[m.Slot].Owner != m.From {
+				t.Fatalf("slot %d moves from %s, which does not own it", m.Slot, m.From)
+			}
+			units[m.Slot].Owner = m.To
+		}
+		if after := Imbalance(servers, units); after > before+1e-9 {
+			t.Fatalf("imbalance %f becomes %f", before, after)
+		}
+	})
+}
+
+func BenchmarkPlan(b *testing.B) {
+	servers, units := idle(3200, 131072)
+	for i := range units {
+		units[i].Busy = time.Duration(i*7919%1000) * time.Microsecond
+	}
+	b.ResetTimer()
+	for range b.N {
+		Plan(servers, units, policy)
+	}
+}
