Plan with the settings in force

Cause: with balance_policy none the planner still moved 8 units (its bound of moves) once: it took the settings before it waited for an interval, so that its first plan was made with the defaults of a tree not yet read.

Change: settings are taken after the wait.

--- a/io/member/plan.go
+++ b/io/member/plan.go
@@ -90,13 +90,11 @@
 // plan is the task that plans moves while this daemon is planner.
 func (m *Member) plan() error {
 	for {
-		m.mu.Lock()
-		values := m.state.Settings().Effective(m.cfg.Service, "")
-		m.mu.Unlock()
-		if !m.live(values.BalanceInterval()) {
+		if !m.live(m.values().BalanceInterval()) {
 			return nil
 		}
 		now := boottime.Now()
+		values := m.values()
 		moves, term := m.choose(now, values)
 		for from, list := range byOwner(moves) {
 			m.sendMove(now, from, list, term)
@@ -107,6 +105,13 @@
 	}
 }
 
+// values returns the settings of this daemon's service.
+func (m *Member) values() *settings.Values {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state.Settings().Effective(m.cfg.Service, "")
+}
+
 // choose returns the moves to make now, if this daemon is planner.
 func (m *Member) choose(now time.Time, values *settings.Values) ([]balance.Move, uint64) {
 	m.mu.Lock()
--- a/io/member/report.go
+++ b/io/member/report.go
@@ -42,10 +42,7 @@
 func (m *Member) report() error {
 	failures := 0
 	for {
-		m.mu.Lock()
-		every := m.state.Settings().Effective(m.cfg.Service, "").BalanceInterval()
-		m.mu.Unlock()
-		if !m.live(every / 2) {
+		if !m.live(m.values().BalanceInterval() / 2) {
 			return nil
 		}
 		planner, msg := m.takeReport(boottime.Now())
