--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -22,9 +22,9 @@
 	return l.enter(epoch, Request{Class: class, Caller: caller, Deadline: epoch.Add(deadline)})
 }
 
-// done gives a slot back after the target worked for took.
-func done(l *Limiter, class request.Class, took time.Duration, use Use) {
-	(&Permit{limiter: l, class: class, started: epoch}).Done(epoch.Add(took), use)
+// done gives a lookup's slot back after the target worked for took.
+func done(l *Limiter, took time.Duration, use Use) {
+	(&Permit{limiter: l, class: request.Lookup, started: epoch}).Done(epoch.Add(took), use)
 }
 
 func admitted(w *waiter) bool { return w != nil && len(w.done) == 1 }
@@ -40,7 +40,7 @@
 	require.NotNil(t, w)
 	require.Nil(t, refusal)
 	require.Equal(t, Load{InFlight: 4, Queued: 1, Limit: 4, Service: l.service}, l.Load())
-	done(l, request.Lookup, time.Millisecond, Served)
+	done(l, time.Millisecond, Served)
 	require.True(t, admitted(w))
 }
 
@@ -67,9 +67,9 @@
 		flood = append(flood, w)
 	}
 	other, _ := ask(l, request.Lookup, "other", time.Second)
-	done(l, request.Lookup, time.Millisecond, Served)
+	done(l, time.Millisecond, Served)
 	require.True(t, admitted(flood[0]))
-	done(l, request.Lookup, time.Millisecond, Served)
+	done(l, time.Millisecond, Served)
 	require.True(t, admitted(other), "the other caller is next, before nine of the flood")
 }
 
@@ -113,12 +113,12 @@
 	l := New(Limits{Slots: 10, Queue: 8})
 	for range 20 {
 		_, _ = ask(l, request.Lookup, "", time.Second)
-		done(l, request.Lookup, 0, Shed)
+		done(l, 0, Shed)
 	}
 	require.Equal(t, 2, l.Load().Limit, "a fifth of the slots is never given up")
 	for range 400 {
 		_, _ = ask(l, request.Lookup, "", time.Second)
-		done(l, request.Lookup, time.Millisecond, Served)
+		done(l, time.Millisecond, Served)
 	}
 	require.Equal(t, 10, l.Load().Limit)
 }
--- a/standin/measure/balancing.go
+++ b/standin/measure/balancing.go
@@ -51,13 +51,16 @@
 		Note: fmt.Sprintf("Zipf %.1f over %d keys, lookups of %v at %.0f%% of all slots, hot keys change after %v; "+
 			"imbalance is the busiest server's target time over the mean, in the last %v before and after the change",
 			zipfS, balanceKeys, lookupTime, 100*balanceLoad, balanceTime, windowTime),
-		Columns: []string{"deployment", "policy", "least possible", "first 2 s", "before", "after", "mended after s", "again after s", "units moved", "p50 ms", "p99 ms", "refused", "longest wait ms"},
+		Columns: []string{
+			"deployment", "policy", "least possible", "first 2 s", "before", "after", "mended after s", "again after s",
+			"units moved", "p50 ms", "p99 ms", "refused", "longest wait ms",
+		},
 	}
 	for _, d := range deployments {
 		for _, policy := range []string{"none", "moves", "moves_and_keys"} {
 			d.group.args = []string{"-lookup", lookupTime.String(), "-slots", strconv.Itoa(d.slots)}
-			tree := fmt.Sprintf(`{"services": {%q: {"kind": "divided", "slots": 256, "values": {"target_slots": %d, "balance_policy": %q, "balance_interval_ms": 1000}}}}`,
-				d.group.service, d.slots, policy)
+			tree := fmt.Sprintf(`{"services": {%q: {"kind": "divided", "slots": 256,
+				"values": {"target_slots": %d, "balance_policy": %q, "balance_interval_ms": 1000}}}}`, d.group.service, d.slots, policy)
 			row, err := balanceOf(ctx, opts, tree, d.group, d.slots)
 			if err != nil {
 				return []Table{table}, fmt.Errorf("%s, %s: %w", d.name, policy, err)
--- a/standin/measure/scenarios.go
+++ b/standin/measure/scenarios.go
@@ -95,7 +95,10 @@
 		{name: "one caller floods", args: slow, always: []stream{others}, during: []stream{flood}},
 		{
 			name: "a target slows tenfold, reports health", args: fast,
-			always:  []stream{lookups("lookups", "nursery", 400, keys("archive", "page", 1000)), lookups("registry lookups", "nursery", 400, keys("registry", "rosa", 500))},
+			always: []stream{
+				lookups("lookups", "nursery", 400, keys("archive", "page", 1000)),
+				lookups("registry lookups", "nursery", 400, keys("registry", "rosa", 500)),
+			},
 			trouble: func(f *processes.Fleet) error { return trouble(f, targetserver.Faults{Slow: 10, Lie: true}) },
 		},
 		{
@@ -125,7 +128,10 @@
 		Name: "Load scenarios",
 		Note: fmt.Sprintf("7 registry and 3 archive servers with 12 slots and 110 connections; open loop, %v before and %v during; "+
 			"latency in ms counts from when a request was due; the baseline is the same with all policies off", phaseTime, phaseTime),
-		Columns: []string{"scenario", "policy", "load", "offered/s", "answered/s before", "p99 before", "answered/s", "p50", "p99", "p99.9", "refused", "unknown", "doubled"},
+		Columns: []string{
+			"scenario", "policy", "load", "offered/s", "answered/s before", "p99 before", "answered/s",
+			"p50", "p99", "p99.9", "refused", "unknown", "doubled",
+		},
 	}
 	for _, sc := range scenarioList() {
 		for _, policy := range []struct{ name, values string }{{"off", policyOff}, {"on", policyOn}} {
@@ -197,19 +203,25 @@
 	return rows, nil
 }
 
+// callersOf returns the callers of a stream: one, or nine if it names none.
+func callersOf(s stream) []*load.Caller {
+	if s.caller != "" {
+		return []*load.Caller{load.NewCaller(s.caller)}
+	}
+	callers := make([]*load.Caller, 9)
+	for i := range callers {
+		callers[i] = load.NewCaller(fmt.Sprint("caller-", i))
+	}
+	return callers
+}
+
 // offer offers streams for a phase and returns a Tally for each.
 func offer(ctx context.Context, fleet *processes.Fleet, streams []stream, phase string) []*load.Tally {
 	tallies := make([]*load.Tally, len(streams))
 	var wg sync.WaitGroup
 	for n, s := range streams {
 		tallies[n] = load.NewTally()
-		callers := []*load.Caller{load.NewCaller(s.caller)}
-		if s.caller == "" {
-			callers = nil
-			for i := range 9 {
-				callers = append(callers, load.NewCaller(fmt.Sprint("caller-", i)))
-			}
-		}
+		callers := callersOf(s)
 		g := load.Generator{Rate: s.rate, Most: mostUnder, Tally: tallies[n], Send: func(ctx context.Context, i int) load.Result {
 			return callers[i%len(callers)].Do(ctx, load.Request{
 				Method: s.method, URL: fleet.Servers[i%len(fleet.Servers)].URL(s.path(i)),
--- a/standin/measure/speed.go
+++ b/standin/measure/speed.go
@@ -116,7 +116,10 @@
 		Name: "Cost of a lookup",
 		Note: "48 users in a closed loop, lookups that take the target no time, every request crosses entry and owner; " +
 			"medians of rounds (range)",
-		Columns: []string{"requests/s", "entry us", "owner us", "requests/s a core (entry)", "requests/s a core (owner)", "allocations entry", "allocations owner", "idle MiB"},
+		Columns: []string{
+			"requests/s", "entry us", "owner us", "requests/s a core (entry)", "requests/s a core (owner)",
+			"allocations entry", "allocations owner", "idle MiB",
+		},
 	}
 	var rate, entryUs, ownerUs, entryAllocs, ownerAllocs, idle []float64
 	for range opts.Rounds {
