Replace a session as soon as it falls silent

Cause: when all open connections fell silent at once, requests waited until the failed ping had closed the session (0.6 s), renewals waited for their next turn after a failed one, and a hundred retries at once spent the budget.

Ruled out: a shorter ping timeout (slow VMs); a larger retry budget (it bounds overload).

Change: a session found silent is replaced at once, while its calls go on; a failed renewal is repeated at once on a new connection; how long a ping may be under way grows with its usual round trip, so that sessions between regions are not taken for silent.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -116,13 +116,14 @@
 func (*measureCommand) Name() string     { return "measure" }
 func (*measureCommand) Synopsis() string { return "take the measurements" }
 func (*measureCommand) Usage() string {
-	return "measure [-bin DIR] [-json FILE] [-only SECTION,...] [-rounds N]\n"
+	return "measure [-bin DIR] [-json FILE] [-only SECTION,...] [-match TEXT] [-rounds N]\n"
 }
 
 func (c *measureCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.opts.Bin, "bin", "bin", "directory of the programs")
 	f.StringVar(&c.opts.JSON, "json", "", "file to write the report to")
 	f.StringVar(&c.only, "only", "", "sections to run")
+	f.StringVar(&c.opts.Match, "match", "", "part of the names of the cases to run")
 	f.IntVar(&c.opts.Rounds, "rounds", 3, "repetitions of each measurement")
 }
 
--- a/io/member/renew.go
+++ b/io/member/renew.go
@@ -24,7 +24,10 @@
 		case <-time.After(m.renewPause()):
 		case <-m.renewNow[i]:
 		}
-		m.renewOnce(i)
+		if !m.renewOnce(i) {
+			// Without an answer the connection was dropped, and a new one may work.
+			m.renewOnce(i)
+		}
 	}
 }
 
@@ -39,8 +42,9 @@
 	return lease.RenewEvery / 4
 }
 
-// renewOnce asks guardian number i for one renewal.
-func (m *Member) renewOnce(i int) {
+// renewOnce asks guardian number i for one renewal, and reports whether there was
+// none to ask for or it was granted.
+func (m *Member) renewOnce(i int) bool {
 	m.mu.Lock()
 	req, ok := m.book.Renewal()
 	var guardian *fleet.Member
@@ -49,7 +53,7 @@
 	}
 	m.mu.Unlock()
 	if guardian == nil {
-		return
+		return true
 	}
 	sentAt := boottime.Now()
 	granted := m.ask(guardian, &peerpb.Call{Kind: &peerpb.Call_Renew{Renew: &peerpb.Renew{
@@ -60,7 +64,7 @@
 	m.metrics.renewals.Inc(1)
 	if !granted {
 		m.metrics.renewalErrors.Inc(1)
-		return
+		return false
 	}
 	now := boottime.Now()
 	m.mu.Lock()
@@ -68,6 +72,7 @@
 	m.book.Renewed(now, sentAt, guardian.ID, req)
 	m.renewedAt[i] = now
 	m.noteHold(now)
+	return true
 }
 
 // noteHold follows changes of whether this daemon holds its lease. The caller
--- a/io/peer/pool.go
+++ b/io/peer/pool.go
@@ -134,7 +134,8 @@
 
 // Open starts a call to the daemon at addr. An error means that nothing of the
 // call was sent. A session that has gone silent gets no new calls: what is sent
-// into it may or may not be run, and what is not sent can go elsewhere.
+// into it may or may not be run. A new session takes its place at once: if only
+// the connection is dead, the new one works.
 func (p *Pool) Open(ctx context.Context, addr netip.AddrPort, purpose Purpose) (*Stream, error) {
 	const attempts = 2 // the first may meet a session that has just closed
 	var err error
@@ -145,7 +146,9 @@
 			return nil, err
 		}
 		if !s.watch.answers(ctx) {
-			return nil, eris.Wrapf(errSilent, "open stream to %s", addr)
+			err = errSilent
+			p.forget(sessionKey{addr, purpose}, s)
+			continue
 		}
 		var stream *Stream
 		stream, err = s.takeStream()
@@ -249,6 +252,7 @@
 	if err != nil {
 		return eris.Wrapf(err, "dial %s", key.addr)
 	}
+	greeted := time.Now()
 	if err := greet(conn, p.server, key.purpose); err != nil {
 		_ = conn.Close()
 		return eris.Wrapf(err, "greet %s", key.addr)
@@ -259,17 +263,22 @@
 		_ = conn.Close()
 		return eris.Wrapf(err, "start session with %s", key.addr)
 	}
-	s.watch = newWatch(s.mux, counted, s.busy)
+	s.watch = newWatch(s.mux, counted, s.busy, time.Since(greeted))
 	return nil
 }
 
-// drop closes s and forgets it.
-func (p *Pool) drop(key sessionKey, s *session) {
+// forget lets the next call open a new session. The calls of s go on.
+func (p *Pool) forget(key sessionKey, s *session) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.sessions[key] == s {
 		delete(p.sessions, key)
 	}
-	p.mu.Unlock()
+}
+
+// drop closes s and forgets it.
+func (p *Pool) drop(key sessionKey, s *session) {
+	p.forget(key, s)
 	if s.mux != nil {
 		_ = s.mux.Close()
 	}
--- a/io/peer/watch.go
+++ b/io/peer/watch.go
@@ -13,12 +13,12 @@
 // Times of the watch over a session.
 const (
 	watchEvery = 100 * time.Millisecond
-	// pingGrace is how long a ping may be under way before the session counts
-	// as silent.
+	// pingGrace is how long a ping may be under way, beside twice its usual
+	// time, before the session counts as silent.
 	pingGrace = 100 * time.Millisecond
 	// quietLimit is how long nothing may have come from the peer before the
 	// next call waits for a ping.
-	quietLimit = time.Second
+	quietLimit = 500 * time.Millisecond
 	// idleLimit is how long a session without calls is kept.
 	idleLimit = 30 * time.Second
 )
@@ -32,13 +32,24 @@
 	busy func() int
 	// woken tells run that a call has begun.
 	woken chan struct{}
+	// roundTrip is how long the last ping took, in nanoseconds.
+	roundTrip atomic.Int64
 	// pingedAt is when the ping under way was sent, on the clock of package
 	// time in nanoseconds; 0 if there is none.
 	pingedAt atomic.Int64
 }
 
-func newWatch(mux *yamux.Session, conn *meter.Conn, busy func() int) *watch {
-	return &watch{mux: mux, conn: conn, busy: busy, woken: make(chan struct{}, 1)}
+// newWatch returns the watch of a session whose handshake took roundTrip.
+func newWatch(mux *yamux.Session, conn *meter.Conn, busy func() int, roundTrip time.Duration) *watch {
+	w := &watch{mux: mux, conn: conn, busy: busy, woken: make(chan struct{}, 1)}
+	w.roundTrip.Store(int64(roundTrip))
+	return w
+}
+
+// grace returns how long a ping may be under way before the session counts as
+// silent.
+func (w *watch) grace() time.Duration {
+	return pingGrace + 2*time.Duration(w.roundTrip.Load())
 }
 
 // wake tells the watch that a call has begun.
@@ -102,10 +113,12 @@
 		return
 	}
 	go func() {
-		if _, err := w.mux.Ping(); err != nil {
+		roundTrip, err := w.mux.Ping()
+		if err != nil {
 			_ = w.mux.Close()
 			return
 		}
+		w.roundTrip.Store(int64(roundTrip))
 		w.pingedAt.Store(0)
 	}()
 }
@@ -113,7 +126,7 @@
 // silent reports whether a ping has been under way for too long.
 func (w *watch) silent() bool {
 	at := w.pingedAt.Load()
-	return at != 0 && time.Since(time.Unix(0, at)) > pingGrace
+	return at != 0 && time.Since(time.Unix(0, at)) > w.grace()
 }
 
 // answers reports whether the peer seems to answer. If nothing has come from it
@@ -123,7 +136,7 @@
 		return !w.silent()
 	}
 	w.ping()
-	deadline := time.NewTimer(pingGrace)
+	deadline := time.NewTimer(w.grace())
 	defer deadline.Stop()
 	for w.pingedAt.Load() != 0 {
 		select {
--- a/standin/measure/recovery.go
+++ b/standin/measure/recovery.go
@@ -126,6 +126,9 @@
 		Columns: []string{"what happens", "longest ms", "99 in 100 keys ms", "median key ms", "not run", "unknown", "slots moved", "least that had to"},
 	}
 	for _, fault := range recoveryFaults {
+		if !strings.Contains(fault.name, opts.Match) {
+			continue
+		}
 		var longest, p99, mid time.Duration
 		notRun, unknown, moved, owned := 0, 0, 0, 0
 		for round := range opts.Rounds {
--- a/standin/measure/report.go
+++ b/standin/measure/report.go
@@ -31,6 +31,8 @@
 	JSON string
 	// Only names the sections to run; empty is all.
 	Only []string
+	// Match limits the sections that have named cases to those that contain it.
+	Match string
 	// Rounds is how often each measurement is repeated.
 	Rounds int
 }
--- a/standin/measure/scenarios.go
+++ b/standin/measure/scenarios.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -134,6 +135,9 @@
 		},
 	}
 	for _, sc := range scenarioList() {
+		if !strings.Contains(sc.name, opts.Match) {
+			continue
+		}
 		for _, policy := range []struct{ name, values string }{{"off", policyOff}, {"on", policyOn}} {
 			rows, err := runScenario(ctx, opts, sc, policy.name, policy.values)
 			if err != nil {
