Append on a fresh connection, and ask again for what must have come

Cause: while all connections were silent, a slot that was just moving stayed closed for 2 s: its release waited for an append on a silent connection, and its fold for a read on another.

Ruled out: a shorter append timeout (a slow log would never take a record).

Change: appends and probes take a new connection each, as there are few; a record that is known to be on the log, from the answer to an append or from another daemon, and has not come for 100 ms is asked for on a new connection.

--- a/io/member/follow.go
+++ b/io/member/follow.go
@@ -26,6 +26,9 @@
 	readPause   = 100 * time.Millisecond
 	// appendTimeout bounds an append.
 	appendTimeout = 2 * time.Second
+	// behindLimit is how long a record that is known to be on the log may take
+	// to come before it is asked for on a new connection.
+	behindLimit = 100 * time.Millisecond
 	// probeTimeout is how soon the log has to answer before something is begun
 	// that stops work until the log has taken a record and given it back.
 	probeTimeout = 250 * time.Millisecond
@@ -304,13 +307,36 @@
 	ctx, cancel := m.timeout(appendTimeout)
 	defer cancel()
 	m.metrics.appends.Inc(1)
-	if _, err := m.log.Append(ctx, data); err != nil {
+	offset, err := m.log.Append(ctx, data)
+	if err != nil {
 		m.metrics.appendErrors.Inc(1)
 		return err
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.expect(boottime.Now(), offset+1)
 	return nil
 }
 
+// expectation is an offset that the log is known to have reached.
+type expectation struct {
+	next  uint64
+	since time.Time
+}
+
+// expect notes that the log has reached next. The caller holds the mutex.
+func (m *Member) expect(now time.Time, next uint64) {
+	if next > m.expected.next {
+		m.expected = expectation{next: next, since: now}
+	}
+}
+
+// behind reports whether records that are known to be on the log have not come
+// for a while. The caller holds the mutex.
+func (m *Member) behind(now time.Time) bool {
+	return m.state.Next() < m.expected.next && now.Sub(m.expected.since) > behindLimit
+}
+
 // logAnswers reports whether the log answers now, within limit.
 func (m *Member) logAnswers(limit time.Duration) bool {
 	ctx, cancel := m.timeout(limit)
--- a/io/member/member.go
+++ b/io/member/member.go
@@ -121,6 +121,7 @@
 	// cancelRead ends the read that waits for news, if there is one.
 	cancelRead context.CancelFunc
 	kickedAt   time.Time
+	expected   expectation
 	// logOK is whether the last read of the log succeeded.
 	logOK bool
 	// renewedAt is when each guardian last renewed the lease.
--- a/io/member/renew.go
+++ b/io/member/renew.go
@@ -105,11 +105,8 @@
 		return false
 	}
 	m.mu.Lock()
-	behind := reply.NextOffset > m.state.Next()
-	m.mu.Unlock()
-	if behind {
-		m.Kick()
-	}
+	defer m.mu.Unlock()
+	m.expect(boottime.Now(), reply.NextOffset)
 	return reply.Granted
 }
 
--- a/io/member/takeover.go
+++ b/io/member/takeover.go
@@ -25,7 +25,11 @@
 		m.book.Tick(now)
 		m.noteHold(now)
 		lapses := m.book.Lapses(now)
+		behind := m.behind(now)
 		m.mu.Unlock()
+		if behind {
+			m.Kick()
+		}
 		for _, lapse := range lapses {
 			m.startTakeover(now, lapse)
 		}
--- a/io/platformlog/platformlog.go
+++ b/io/platformlog/platformlog.go
@@ -93,8 +93,11 @@
 
 // Log is a client of the log service. It is safe for concurrent use.
 type Log struct {
-	base    string
-	http    *http.Client
+	base string
+	// reads keeps its connections; fresh takes a new one for each request,
+	// since an old one may have gone silent.
+	reads   *http.Client
+	fresh   *http.Client
 	traffic meter.Traffic
 }
 
@@ -106,18 +109,15 @@
 		Timeout:   connectTimeout,
 		LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(local, 0)),
 	}
-	transport := &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return meter.NewConn(conn, &l.traffic), nil
-		},
-		MaxIdleConnsPerHost: 4,
-		IdleConnTimeout:     time.Minute,
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return meter.NewConn(conn, &l.traffic), nil
 	}
-	l.http = &http.Client{Transport: transport}
+	l.reads = &http.Client{Transport: &http.Transport{DialContext: dial, IdleConnTimeout: time.Minute}}
+	l.fresh = &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}
 	return l
 }
 
@@ -125,13 +125,13 @@
 func (l *Log) Traffic() *meter.Traffic { return &l.traffic }
 
 // Close closes idle connections.
-func (l *Log) Close() { l.http.CloseIdleConnections() }
+func (l *Log) Close() { l.reads.CloseIdleConnections() }
 
 // Append appends data, a JSON value, and returns its offset. After an error
 // other than a StatusError the record may still be appended.
 func (l *Log) Append(ctx context.Context, data []byte) (uint64, error) {
 	var answer AppendAnswer
-	if err := l.call(ctx, http.MethodPost, "/v1/records", data, &answer); err != nil {
+	if err := l.call(ctx, l.fresh, http.MethodPost, "/v1/records", data, &answer); err != nil {
 		return 0, eris.Wrap(err, "append to log")
 	}
 	return answer.Offset, nil
@@ -142,7 +142,7 @@
 func (l *Log) Read(ctx context.Context, from uint64, wait time.Duration) (Batch, error) {
 	path := fmt.Sprintf("/v1/records?from=%d&wait_ms=%d&limit=%d", from, wait.Milliseconds(), readLimit)
 	var batch Batch
-	err := l.call(ctx, http.MethodGet, path, nil, &batch)
+	err := l.call(ctx, l.reads, http.MethodGet, path, nil, &batch)
 	var gone *StatusError
 	if errors.As(err, &gone) && gone.Status == http.StatusGone {
 		offsets, offErr := l.Offsets(ctx)
@@ -165,21 +165,21 @@
 // Offsets returns the ends of the log.
 func (l *Log) Offsets(ctx context.Context) (Offsets, error) {
 	var offsets Offsets
-	if err := l.call(ctx, http.MethodGet, "/v1/offsets", nil, &offsets); err != nil {
+	if err := l.call(ctx, l.fresh, http.MethodGet, "/v1/offsets", nil, &offsets); err != nil {
 		return Offsets{}, eris.Wrap(err, "read log offsets")
 	}
 	return offsets, nil
 }
 
-// call sends a request and decodes the answer into out.
-func (l *Log) call(ctx context.Context, method, path string, body []byte, out any) error {
+// call sends a request through client and decodes the answer into out.
+func (l *Log) call(ctx context.Context, client *http.Client, method, path string, body []byte, out any) error {
 	req, err := http.NewRequestWithContext(ctx, method, l.base+path, bytes.NewReader(body))
 	if err != nil {
 		return eris.Wrap(err, "make request")
 	}
 	// An append must not be repeated by the transport.
 	req.GetBody = nil
-	resp, err := l.http.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return err
 	}
