Split large files and drop what nothing calls

Change: one topic a file; a Chooser for each service, which forgets targets that are no longer candidates; benchmarks at the target size.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -283,9 +283,6 @@
 	Unused            // the target did not get the request
 )
 
-// Started returns when the request was admitted.
-func (p *Permit) Started() time.Time { return p.started }
-
 // Start notes that the request goes to the target at now.
 func (p *Permit) Start(now time.Time) { p.started = now }
 
--- a/core/balance/choice.go
+++ b/core/balance/choice.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,7 +28,7 @@
 	everTried bool
 }
 
-// Chooser chooses targets of shared services. It is safe for concurrent use.
+// Chooser chooses targets of one shared service. It is safe for concurrent use.
 type Chooser struct {
 	mu    sync.Mutex
 	views map[record.Incarnation]*view
@@ -44,6 +45,7 @@
 func (c *Chooser) Pick(now time.Time, way string, candidates []record.Incarnation) record.Incarnation {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.forget(candidates)
 	chosen := c.pick(now, way, candidates)
 	v := c.view(chosen)
 	v.inFlight++
@@ -111,12 +113,13 @@
 	return v
 }
 
-// Forget drops the views of targets that keep does not admit.
-func (c *Chooser) Forget(keep func(record.Incarnation) bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+// forget drops the views of targets that are no longer candidates.
+func (c *Chooser) forget(candidates []record.Incarnation) {
+	if len(c.views) <= 2*len(candidates) {
+		return
+	}
 	for id, v := range c.views {
-		if v.inFlight == 0 && !keep(id) {
+		if v.inFlight == 0 && !slices.Contains(candidates, id) {
 			delete(c.views, id)
 		}
 	}
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -270,11 +271,21 @@
 	if err != nil {
 		b.Fatal(err)
 	}
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
 	b.ReportAllocs()
 	b.ResetTimer()
+	var s *State
 	for range b.N {
-		if _, err := Decode(data); err != nil {
+		s, err = Decode(data)
+		if err != nil {
 			b.Fatal(err)
 		}
 	}
+	b.StopTimer()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "resident-bytes")
+	runtime.KeepAlive(s)
 }
--- /dev/null
+++ b/core/settings/document.go
@@ -0,0 +1,196 @@
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"strings"
+
+	"siskinknot/core/schema"
+)
+
+// document is the JSON form of the tree.
+type document struct {
+	Values   fields              `json:"values,omitempty"`
+	Services map[string]*service `json:"services,omitempty"`
+}
+
+type service struct {
+	Kind   string               `json:"kind"`
+	Slots  int                  `json:"slots,omitempty"`
+	Values fields               `json:"values,omitempty"`
+	Ranges map[string]*keyRange `json:"ranges,omitempty"`
+}
+
+type keyRange struct {
+	Values fields `json:"values,omitempty"`
+}
+
+// fields are the values that one node sets.
+type fields map[string]json.RawMessage
+
+// changedNodes returns the paths of the nodes that differ between two trees.
+func changedNodes(before, after *Tree) []string {
+	var changed []string
+	seen := map[string]bool{}
+	for _, node := range append(before.Nodes(), after.Nodes()...) {
+		if seen[node] {
+			continue
+		}
+		seen[node] = true
+		old, inOld := before.NodeJSON(node)
+		now, inNew := after.NodeJSON(node)
+		if inOld != inNew || !bytes.Equal(old, now) {
+			changed = append(changed, node)
+		}
+	}
+	return changed
+}
+
+// patched returns the document after a merge patch of node.
+func (t *Tree) patched(node string, patch json.RawMessage) (document, error) {
+	path, err := documentPath(node)
+	if err != nil {
+		return document{}, err
+	}
+	var change any
+	if err := json.Unmarshal(patch, &change); err != nil {
+		return document{}, fmt.Errorf("patch of node %q is not JSON: %w", node, err)
+	}
+	if _, ok := change.(map[string]any); !ok && (change != nil || len(path) < 4) {
+		return document{}, fmt.Errorf("patch of node %q is %s, want an object", node, patch)
+	}
+	for i := len(path) - 1; i >= 0; i-- {
+		change = map[string]any{path[i]: change}
+	}
+	var tree any
+	if err := json.Unmarshal(t.JSON(), &tree); err != nil {
+		panic(fmt.Sprintf("settings tree does not parse: %v", err))
+	}
+	data, err := json.Marshal(mergePatch(tree, change))
+	if err != nil {
+		return document{}, fmt.Errorf("patch of node %q: %w", node, err)
+	}
+	doc, err := parse(data)
+	if err != nil {
+		return document{}, err
+	}
+	return doc, t.checkFixed(doc)
+}
+
+// checkFixed refuses changes that the owners of a service's slots could not
+// follow.
+func (t *Tree) checkFixed(next document) error {
+	for name, old := range t.doc.Services {
+		svc, ok := next.Services[name]
+		switch {
+		case !ok:
+			return fmt.Errorf("/services/%s: a service cannot be removed", name)
+		case svc.Kind != old.Kind:
+			return fmt.Errorf("/services/%s/kind: %q: the kind of a service is fixed, want %q", name, svc.Kind, old.Kind)
+		case svc.Slots != old.Slots:
+			return fmt.Errorf("/services/%s/slots: %d: the number of slots is fixed, want %d", name, svc.Slots, old.Slots)
+		}
+	}
+	return nil
+}
+
+// Check returns what is wrong with a whole tree in JSON form, or nil.
+func Check(data []byte) error {
+	_, err := parse(data)
+	return err
+}
+
+// parse checks data and returns it as a document.
+func parse(data []byte) (document, error) {
+	if problems := treeSchema.Check(data); len(problems) > 0 {
+		return document{}, schema.Error(problems)
+	}
+	var doc document
+	if err := json.Unmarshal(data, &doc); err != nil {
+		return document{}, fmt.Errorf("settings tree: %w", err)
+	}
+	return doc, checkDeadlines(&Tree{doc: doc})
+}
+
+// checkDeadlines refuses nodes whose default deadline exceeds their longest.
+func checkDeadlines(t *Tree) error {
+	for _, node := range t.Nodes() {
+		values, _ := t.effective(node)
+		if values.DefaultDeadlineMs > values.MaxDeadlineMs {
+			return fmt.Errorf("node %q: default_deadline_ms %d exceeds max_deadline_ms %d",
+				node, values.DefaultDeadlineMs, values.MaxDeadlineMs)
+		}
+	}
+	return nil
+}
+
+// documentPath returns the member names that lead to node in the document.
+func documentPath(node string) ([]string, error) {
+	if node == "/" {
+		return nil, nil
+	}
+	service, prefix, _ := strings.Cut(strings.TrimPrefix(node, "/"), "/")
+	if !strings.HasPrefix(node, "/") || service == "" || strings.Contains(prefix, "/") {
+		return nil, fmt.Errorf("node %q is none of \"/\", \"/service\", \"/service/prefix\"", node)
+	}
+	if prefix == "" {
+		return []string{"services", service}, nil
+	}
+	return []string{"services", service, "ranges", prefix}, nil
+}
+
+// mergePatch applies a merge patch as RFC 7396 defines it.
+func mergePatch(doc, patch any) any {
+	changes, ok := patch.(map[string]any)
+	if !ok {
+		return patch
+	}
+	object, ok := doc.(map[string]any)
+	if !ok {
+		object = map[string]any{}
+	}
+	for name, change := range changes {
+		if change == nil {
+			delete(object, name)
+			continue
+		}
+		object[name] = mergePatch(object[name], change)
+	}
+	return object
+}
+
+// Diff returns the merge patch that turns the JSON document from into to.
+func Diff(from, to json.RawMessage) (json.RawMessage, error) {
+	var before, after any
+	if err := json.Unmarshal(from, &before); err != nil {
+		return nil, fmt.Errorf("present settings: %w", err)
+	}
+	if err := json.Unmarshal(to, &after); err != nil {
+		return nil, fmt.Errorf("new settings: %w", err)
+	}
+	patch, _ := diff(before, after)
+	return json.Marshal(patch)
+}
+
+// diff returns the merge patch from before to after, and whether they differ.
+func diff(before, after any) (any, bool) {
+	old, oldOK := before.(map[string]any)
+	now, nowOK := after.(map[string]any)
+	if !oldOK || !nowOK {
+		return after, !reflect.DeepEqual(before, after)
+	}
+	patch := map[string]any{}
+	for name := range old {
+		if _, ok := now[name]; !ok {
+			patch[name] = nil
+		}
+	}
+	for name, value := range now {
+		if change, differs := diff(old[name], value); differs {
+			patch[name] = change
+		}
+	}
+	return patch, len(patch) > 0
+}
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"siskinknot/core/balance"
 	"siskinknot/core/outcome"
 	"siskinknot/core/record"
 	"siskinknot/core/retry"
@@ -101,14 +102,24 @@
 		ids = append(ids, route.ID)
 	}
 	start := boottime.Now()
-	chosen := e.chooser.Pick(start, c.values.SharedChoice, ids)
+	chooser := e.chooser(c.head.Service)
+	chosen := chooser.Pick(start, c.values.SharedChoice, ids)
 	res := e.to(ctx, byID[chosen], c, sink)
 	end := boottime.Now()
 	_, answered := res.(outcome.Answered)
-	e.chooser.Done(end, chosen, end.Sub(start), answered)
+	chooser.Done(end, chosen, end.Sub(start), answered)
 	return res
 }
 
+// chooser returns the Chooser of a shared service.
+func (e *Entry) chooser(service string) *balance.Chooser {
+	if c, ok := e.choosers.Load(service); ok {
+		return c.(*balance.Chooser)
+	}
+	c, _ := e.choosers.LoadOrStore(service, balance.NewChooser())
+	return c.(*balance.Chooser)
+}
+
 // to sends a request along route.
 func (e *Entry) to(ctx context.Context, route member.Route, c *call, sink *responseSink) outcome.Result {
 	sink.owner = route.Caller.String()
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -38,6 +38,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -48,7 +49,6 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
-	"siskinknot/core/balance"
 	"siskinknot/core/outcome"
 	"siskinknot/core/request"
 	"siskinknot/core/retry"
@@ -82,8 +82,9 @@
 	pool    *peer.Pool
 	tracer  trace.Tracer
 	metrics metrics
-	chooser *balance.Chooser
 	budget  *retry.Budget
+	// choosers maps the name of a shared service to its *balance.Chooser.
+	choosers sync.Map
 }
 
 // metrics are the counters of an Entry.
@@ -120,7 +121,6 @@
 		pool:    pool,
 		tracer:  tracer,
 		metrics: newMetrics(scope),
-		chooser: balance.NewChooser(),
 		budget:  retry.NewBudget(),
 	}
 }
--- a/io/member/plan.go
+++ b/io/member/plan.go
@@ -23,8 +23,9 @@
 	reports map[record.Incarnation]timedReport
 	// movedAt is when a unit was last told to move.
 	movedAt map[unitID]time.Time
-	// firstSeen is when a member was first missed.
-	firstSeen map[record.Incarnation]time.Time
+	// missedSince is when a member that never reported was first looked for, or
+	// was last accused.
+	missedSince map[record.Incarnation]time.Time
 }
 
 // timedReport is a report with the time of its arrival.
@@ -41,9 +42,9 @@
 
 func newPlanning() planning {
 	return planning{
-		reports:   map[record.Incarnation]timedReport{},
-		movedAt:   map[unitID]time.Time{},
-		firstSeen: map[record.Incarnation]time.Time{},
+		reports:     map[record.Incarnation]timedReport{},
+		movedAt:     map[unitID]time.Time{},
+		missedSince: map[record.Incarnation]time.Time{},
 	}
 }
 
@@ -64,9 +65,9 @@
 			delete(p.reports, id)
 		}
 	}
-	for id := range p.firstSeen {
+	for id := range p.missedSince {
 		if state.Lost(id) {
-			delete(p.firstSeen, id)
+			delete(p.missedSince, id)
 		}
 	}
 }
@@ -246,17 +247,17 @@
 		if mem.Service != m.cfg.Service || mem.Accused != 0 || mem.ID == m.me {
 			continue
 		}
-		seen, ok := m.planning.firstSeen[mem.ID]
+		seen, ok := m.planning.missedSince[mem.ID]
 		if r, reported := m.planning.reports[mem.ID]; reported {
 			seen, ok = r.at, true
 		}
 		if !ok {
-			m.planning.firstSeen[mem.ID] = now
+			m.planning.missedSince[mem.ID] = now
 			continue
 		}
 		if now.Sub(seen) > accuseAfter*values.BalanceInterval() {
 			silent = append(silent, mem.ID)
-			m.planning.firstSeen[mem.ID] = now
+			m.planning.missedSince[mem.ID] = now
 		}
 	}
 	return silent
