Choose guardians within the region

Cause: regions lose each other several times a year; guardians in other zones could all sit in other regions, so that such a cut would have ended leases that nothing in the region was wrong with.

Ruled out: two pairs of guardians, one for each case (twice the renewals).

Change: a daemon may name its region; another region counts as worse than the same region's other zones, and better than the own zone.

--- a/core/fleet/apply.go
+++ b/core/fleet/apply.go
@@ -98,6 +98,7 @@
 		ID:         rec.By,
 		Server:     rec.Server,
 		Service:    rec.Service,
+		Region:     rec.Region,
 		Zone:       rec.Zone,
 		Daemon:     rec.Daemon,
 		Caller:     rec.Caller,
--- a/core/fleet/snapshot.go
+++ b/core/fleet/snapshot.go
@@ -27,6 +27,7 @@
 	ID         record.Incarnation    `json:"id"`
 	Server     string                `json:"server"`
 	Service    string                `json:"service"`
+	Region     string                `json:"region,omitempty"`
 	Zone       string                `json:"availability_zone"`
 	Daemon     netip.AddrPort        `json:"daemon_address"`
 	Caller     netip.AddrPort        `json:"caller_address"`
@@ -114,7 +115,7 @@
 // image returns the JSON form of m.
 func (m *Member) image() memberImage {
 	return memberImage{
-		ID: m.ID, Server: m.Server, Service: m.Service, Zone: m.Zone,
+		ID: m.ID, Server: m.Server, Service: m.Service, Region: m.Region, Zone: m.Zone,
 		Daemon: m.Daemon, Caller: m.Caller, BootID: m.BootID,
 		BlindLimit: record.Millis(m.BlindLimit), Since: m.Since,
 		Epoch: m.Epoch, Pair: m.Pair, PairSince: m.PairSince,
@@ -126,7 +127,7 @@
 // member returns the member that img was made from.
 func (img memberImage) member() *Member {
 	return &Member{
-		ID: img.ID, Server: img.Server, Service: img.Service, Zone: img.Zone,
+		ID: img.ID, Server: img.Server, Service: img.Service, Region: img.Region, Zone: img.Zone,
 		Daemon: img.Daemon, Caller: img.Caller, BootID: img.BootID,
 		BlindLimit: img.BlindLimit.Duration(), Since: img.Since,
 		Epoch: img.Epoch, Pair: img.Pair, PairSince: img.PairSince,
--- a/core/fleet/state.go
+++ b/core/fleet/state.go
@@ -54,10 +54,12 @@
 	ID      record.Incarnation
 	Server  string
 	Service string
-	Zone    string
-	Daemon  netip.AddrPort
-	Caller  netip.AddrPort
-	BootID  string
+	// Region is empty in a fleet of one region.
+	Region string
+	Zone   string
+	Daemon netip.AddrPort
+	Caller netip.AddrPort
+	BootID string
 	// BlindLimit is how long the member holds without reading the log.
 	BlindLimit time.Duration
 	// Since is the offset of the member's Announce.
--- a/core/lease/pair.go
+++ b/core/lease/pair.go
@@ -48,10 +48,11 @@
 // ChoosePair returns the best guardians for me among the members that usable
 // admits, and false if there are fewer than two. Members of keep that are usable
 // stay in their place. The first is of the same service, since only then can it
-// be heir; the pair sits in two availability zones other than the member's own
-// as far as there are any; daemons do not guard one another if that can be
-// avoided, so that no circle of lost daemons is left without a guardian; and
-// guards are spread evenly.
+// be heir; the pair sits in two availability zones other than the member's own,
+// in its region, as far as there are any, so that neither the loss of a zone nor
+// a cut between regions ends a lease; daemons do not guard one another if that
+// can be avoided, so that no circle of lost daemons is left without a guardian;
+// and guards are spread evenly.
 func ChoosePair(state *fleet.State, me record.Incarnation, keep [2]record.Incarnation, usable func(*fleet.Member) bool) ([2]record.Incarnation, bool) {
 	self := state.Member(me)
 	if self == nil {
@@ -137,6 +138,7 @@
 // penalty says how badly m serves as guardian of self.
 func penalty(self, m *fleet.Member, load map[record.Incarnation]int) int {
 	return 4*betterBy*count(m.Zone == self.Zone) +
+		3*betterBy*count(m.Region != self.Region) +
 		20*betterBy*count(m.Leaving) +
 		betterBy*count(m.Guards(self.ID)) +
 		min(load[m.ID], betterBy/4)
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -40,7 +40,9 @@
 	By      Incarnation `json:"by"`
 	Server  string      `json:"server"`
 	Service string      `json:"service"`
-	Zone    string      `json:"availability_zone"`
+	// Region is empty in a fleet of one region.
+	Region string `json:"region,omitempty"`
+	Zone   string `json:"availability_zone"`
 	// Daemon is the address of the inner protocol.
 	Daemon netip.AddrPort `json:"daemon_address"`
 	// Caller is the address of the callers' HTTP interface.
--- a/io/config/config.go
+++ b/io/config/config.go
@@ -31,7 +31,9 @@
 type Config struct {
 	Server  string `json:"server"`
 	Service string `json:"service"`
-	Zone    string `json:"availability_zone"`
+	// Region is left out in a fleet of one region.
+	Region string `json:"region"`
+	Zone   string `json:"availability_zone"`
 	// Daemon, Caller and Operator are the addresses to listen on. Port 0 lets
 	// the kernel choose one.
 	Daemon   netip.AddrPort `json:"daemon_address"`
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -139,6 +139,7 @@
 	d.member = member.New(member.Config{
 		Server:          d.cfg.Server,
 		Service:         d.cfg.Service,
+		Region:          d.cfg.Region,
 		Zone:            d.cfg.Zone,
 		Daemon:          d.advertised(),
 		Caller:          boundTo(d.cfg.Caller, d.listeners.callers),
--- a/io/member/member.go
+++ b/io/member/member.go
@@ -54,6 +54,7 @@
 type Config struct {
 	Server     string
 	Service    string
+	Region     string
 	Zone       string
 	Daemon     netip.AddrPort
 	Caller     netip.AddrPort
--- a/io/member/tend.go
+++ b/io/member/tend.go
@@ -148,6 +148,7 @@
 		By:         me,
 		Server:     m.cfg.Server,
 		Service:    m.cfg.Service,
+		Region:     m.cfg.Region,
 		Zone:       m.cfg.Zone,
 		Daemon:     m.cfg.Daemon,
 		Caller:     m.cfg.Caller,
