Bound the planner's load and mend what a reading found

Cause: reading the code as a newcomer found: a consent to a new pair could be used for a later epoch than it was given for, in which the guardian may have promised; the tend task read members outside the mutex; a release of a member that was just revoked would have stopped the process; the planner never forgot a move; and its reports grow with the service.

Change: a proposed pair names the epoch of its consent; copies are taken under the mutex; the planner's interval is at least 10 ms for each member.

--- a/core/lease/pair.go
+++ b/core/lease/pair.go
@@ -10,14 +10,15 @@
 	"siskinknot/core/record"
 )
 
-// ProposePair returns the record that names a new pair, and false while it may
-// not be sent. consent is the old guardian that agreed, or empty. The Book
-// takes the record as sent: no renewal counts until one for the next epoch is
-// folded.
-func (b *Book) ProposePair(now time.Time, pair [2]record.Incarnation, consent record.Incarnation) (record.Guardians, bool) {
+// ProposePair returns the record that names the pair to follow that of epoch,
+// and false while it may not be sent. consent is the guardian of epoch that
+// agreed, or empty; consent to an earlier epoch says nothing about a later one,
+// in which the guardian may have promised. The Book takes the record as sent: no
+// renewal counts until one for the next epoch is folded.
+func (b *Book) ProposePair(now time.Time, epoch uint64, pair [2]record.Incarnation, consent record.Incarnation) (record.Guardians, bool) {
 	b.Tick(now)
 	m := b.state.Member(b.me)
-	if m == nil || m.Succeeded {
+	if m == nil || m.Succeeded || (m.Epoch != epoch && b.on(ruleConsentEpoch)) {
 		return record.Guardians{}, false
 	}
 	if m.Epoch > 0 && consent == "" && !b.Unguarded() && b.on(ruleConsentNeeded) {
--- a/io/member/plan.go
+++ b/io/member/plan.go
@@ -58,6 +58,15 @@
 	return true
 }
 
+// rest forgets the moves that were long enough ago for their units to move again.
+func (p *planning) rest(now time.Time, interval time.Duration) {
+	for id, at := range p.movedAt {
+		if now.Sub(at) > restAfter*interval {
+			delete(p.movedAt, id)
+		}
+	}
+}
+
 // forget drops what is known of members that are gone.
 func (p *planning) forget(state *fleet.State) {
 	for id := range p.reports {
@@ -91,7 +100,7 @@
 // plan is the task that plans moves while this daemon is planner.
 func (m *Member) plan() error {
 	for {
-		if !m.live(m.values().BalanceInterval()) {
+		if !m.live(m.interval()) {
 			return nil
 		}
 		now := boottime.Now()
@@ -100,7 +109,7 @@
 		for from, list := range byOwner(moves) {
 			m.sendMove(now, from, list, term)
 		}
-		for _, id := range m.silentMembers(now, values) {
+		for _, id := range m.silentMembers(now) {
 			m.try(record.Accuse{By: m.Me(), Of: id})
 		}
 	}
@@ -113,6 +122,29 @@
 	return m.state.Settings().Effective(m.cfg.Service, "")
 }
 
+// memberInterval is the least time between two plans for each member of the
+// service: it bounds what the reports cost the planner, however many there are.
+const memberInterval = 10 * time.Millisecond
+
+// interval returns the time between two plans.
+func (m *Member) interval() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.intervalLocked()
+}
+
+// intervalLocked is interval for callers that hold the mutex.
+func (m *Member) intervalLocked() time.Duration {
+	members := 0
+	for _, mem := range m.state.Members() {
+		if mem.Service == m.cfg.Service {
+			members++
+		}
+	}
+	configured := m.state.Settings().Effective(m.cfg.Service, "").BalanceInterval()
+	return max(configured, time.Duration(members)*memberInterval)
+}
+
 // choose returns the moves to make now, if this daemon is planner.
 func (m *Member) choose(now time.Time, values *settings.Values) ([]balance.Move, uint64) {
 	m.mu.Lock()
@@ -121,8 +153,9 @@
 	if svc == nil || svc.Planner != m.me || !m.logOK || values.BalancePolicy == "none" {
 		return nil, 0
 	}
-	servers := m.planServers(now, values)
-	units := m.planUnits(now, svc, values)
+	interval := m.intervalLocked()
+	servers := m.planServers(now, interval)
+	units := m.planUnits(svc)
 	policy := balance.Policy{
 		Threshold: float64(values.BalanceThresholdPercent) / 100,
 		MaxMoves:  values.BalanceMaxMoves,
@@ -130,6 +163,7 @@
 	if values.BalancePolicy == "moves_and_keys" {
 		policy.HotKeyShare = float64(values.HotKeyPercent) / 100
 	}
+	m.planning.rest(now, interval)
 	moves := balance.Plan(servers, units, policy)
 	for _, move := range moves {
 		m.planning.movedAt[unitID{move.Slot, move.Key}] = now
@@ -139,11 +173,11 @@
 
 // planServers returns the members that take part in the balance. The caller
 // holds the mutex.
-func (m *Member) planServers(now time.Time, values *settings.Values) []balance.Server {
+func (m *Member) planServers(now time.Time, interval time.Duration) []balance.Server {
 	var servers []balance.Server
 	for _, id := range m.state.Takers(m.cfg.Service, "") {
 		r, ok := m.planning.reports[id]
-		if !ok || now.Sub(r.at) > reportLife*values.BalanceInterval() {
+		if !ok || now.Sub(r.at) > reportLife*interval {
 			continue
 		}
 		servers = append(servers, balance.Server{ID: id, Slots: int(r.msg.TargetSlots), Cold: r.msg.Cold})
@@ -153,25 +187,24 @@
 
 // planUnits returns the units with their reported loads. The caller holds the
 // mutex.
-func (m *Member) planUnits(now time.Time, svc *fleet.Service, values *settings.Values) []balance.Unit {
-	rest := restAfter * values.BalanceInterval()
+func (m *Member) planUnits(svc *fleet.Service) []balance.Unit {
 	busy := m.reportedLoads()
 	var units []balance.Unit
 	for slot := range svc.Slots() {
 		owner := svc.Slot(slot)
-		units = append(units, m.planUnit(now, rest, owner, record.Unit{Slot: slot, Token: owner.Token}, busy))
+		units = append(units, m.planUnit(owner, record.Unit{Slot: slot, Token: owner.Token}, busy))
 	}
 	for _, key := range svc.Carved() {
 		owner, _ := svc.CarvedOwner(key)
 		unit := record.Unit{Slot: svc.SlotOf(key), Key: key, Token: owner.Token}
-		units = append(units, m.planUnit(now, rest, owner, unit, busy))
+		units = append(units, m.planUnit(owner, unit, busy))
 	}
 	for id := range busy {
 		if id.key == "" {
 			continue
 		}
 		if unit, owner := svc.UnitOf(id.key); unit.Key == "" {
-			u := m.planUnit(now, rest, owner, record.Unit{Slot: unit.Slot, Key: id.key, Token: owner.Token}, busy)
+			u := m.planUnit(owner, record.Unit{Slot: unit.Slot, Key: id.key, Token: owner.Token}, busy)
 			u.Hot = true
 			units = append(units, u)
 		}
@@ -180,14 +213,14 @@
 }
 
 // planUnit returns a unit with its reported load. The caller holds the mutex.
-func (m *Member) planUnit(now time.Time, rest time.Duration, owner fleet.Owner, unit record.Unit, busy map[unitID]time.Duration) balance.Unit {
+func (m *Member) planUnit(owner fleet.Owner, unit record.Unit, busy map[unitID]time.Duration) balance.Unit {
 	id := unitID{unit.Slot, unit.Key}
-	movedAt, moved := m.planning.movedAt[id]
+	_, moved := m.planning.movedAt[id]
 	return balance.Unit{
 		Unit:   unit,
 		Owner:  owner.ID,
 		Busy:   busy[id],
-		Rested: !moved || now.Sub(movedAt) > rest,
+		Rested: !moved,
 	}
 }
 
@@ -235,13 +268,14 @@
 
 // silentMembers returns the members of the service that have not reported for
 // long, though nobody could revoke them: their guardians may be lost as well.
-func (m *Member) silentMembers(now time.Time, values *settings.Values) []record.Incarnation {
+func (m *Member) silentMembers(now time.Time) []record.Incarnation {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	svc := m.state.Service(m.cfg.Service)
 	if svc == nil || svc.Planner != m.me || !m.logOK {
 		return nil
 	}
+	limit := accuseAfter * m.intervalLocked()
 	var silent []record.Incarnation
 	for _, mem := range m.state.Members() {
 		if mem.Service != m.cfg.Service || mem.Accused != 0 || mem.ID == m.me {
@@ -255,7 +289,7 @@
 			m.planning.missedSince[mem.ID] = now
 			continue
 		}
-		if now.Sub(seen) > accuseAfter*values.BalanceInterval() {
+		if now.Sub(seen) > limit {
 			silent = append(silent, mem.ID)
 			m.planning.missedSince[mem.ID] = now
 		}
--- a/io/member/release.go
+++ b/io/member/release.go
@@ -113,7 +113,7 @@
 	poke(m.renewNow[0])
 	m.mu.Lock()
 	patience := probeTimeout
-	if m.state.Member(m.me).Leaving {
+	if self := m.state.Member(m.me); self != nil && self.Leaving {
 		patience = appendTimeout
 	}
 	m.mu.Unlock()
--- a/io/member/report.go
+++ b/io/member/report.go
@@ -42,7 +42,7 @@
 func (m *Member) report() error {
 	failures := 0
 	for {
-		if !m.live(m.values().BalanceInterval() / 2) {
+		if !m.live(m.interval() / 2) {
 			return nil
 		}
 		planner, msg := m.takeReport(boottime.Now())
--- a/io/member/tend.go
+++ b/io/member/tend.go
@@ -99,7 +99,7 @@
 // the target drains or is down.
 func (m *Member) tendMembership(now time.Time) {
 	m.mu.Lock()
-	self := m.state.Member(m.me)
+	self, joined := m.self()
 	target := m.target
 	leaving := m.leaving
 	me := m.me
@@ -109,7 +109,7 @@
 	usable := target == TargetReady || target == TargetCold
 	switch {
 	case !logOK:
-	case self == nil:
+	case !joined:
 		if usable && !leaving && works == 0 && m.due(now, "announce", resendAfter) {
 			m.try(m.announcement(me))
 		}
@@ -129,6 +129,16 @@
 	}
 }
 
+// self returns a copy of this daemon as a member, and whether it is one. The
+// caller holds the mutex.
+func (m *Member) self() (fleet.Member, bool) {
+	self := m.state.Member(m.me)
+	if self == nil {
+		return fleet.Member{}, false
+	}
+	return *self, true
+}
+
 // rejoin begins a new incarnation once the target takes work again after it
 // had left, and nothing is owned any more.
 func (m *Member) rejoin(now time.Time) {
@@ -168,8 +178,8 @@
 // leaving, and when a clearly better pair has become possible.
 func (m *Member) tendPair(now time.Time) {
 	m.mu.Lock()
-	self := m.state.Member(m.me)
-	if self == nil || !m.logOK {
+	self, joined := m.self()
+	if !joined || !m.logOK {
 		m.mu.Unlock()
 		return
 	}
@@ -193,7 +203,7 @@
 
 // goodGuardians returns the guardians to keep and whether one has to go. The
 // caller holds the mutex.
-func (m *Member) goodGuardians(now time.Time, self *fleet.Member) (keep [2]record.Incarnation, bad bool) {
+func (m *Member) goodGuardians(now time.Time, self fleet.Member) (keep [2]record.Incarnation, bad bool) {
 	if self.Epoch == 0 {
 		return keep, true
 	}
@@ -227,7 +237,7 @@
 
 // betterPair reports whether a pair chosen afresh would be clearly better than
 // the present one, and returns it in pair. The caller holds the mutex.
-func (m *Member) betterPair(self *fleet.Member, pair *[2]record.Incarnation) bool {
+func (m *Member) betterPair(self fleet.Member, pair *[2]record.Incarnation) bool {
 	var none [2]record.Incarnation
 	fresh, ok := lease.ChoosePair(m.state, m.me, none, func(*fleet.Member) bool { return true })
 	if !ok || lease.PairCost(m.state, m.me, fresh) >= lease.PairCost(m.state, m.me, self.Pair) {
@@ -240,7 +250,7 @@
 // changePair appends a new pair with the consent of an old guardian. Because no
 // renewal counts until the record is folded, a daemon that has a lease to lose
 // first makes sure that the log answers soon.
-func (m *Member) changePair(self *fleet.Member, pair [2]record.Incarnation) {
+func (m *Member) changePair(self fleet.Member, pair [2]record.Incarnation) {
 	m.mu.Lock()
 	holds := m.book.Holds(boottime.Now())
 	m.mu.Unlock()
@@ -250,7 +260,7 @@
 	consent := m.askConsent(self)
 	now := boottime.Now()
 	m.mu.Lock()
-	rec, ok := m.book.ProposePair(now, pair, consent)
+	rec, ok := m.book.ProposePair(now, self.Epoch, pair, consent)
 	if ok {
 		m.renewedAt = [2]time.Time{now, now}
 	}
@@ -264,15 +274,15 @@
 }
 
 // askConsent returns the first guardian of self that agrees to a new pair.
-func (m *Member) askConsent(self *fleet.Member) record.Incarnation {
+func (m *Member) askConsent(self fleet.Member) record.Incarnation {
 	if self.Epoch == 0 {
 		return ""
 	}
 	for _, id := range self.Pair {
 		m.mu.Lock()
-		guardian := m.state.Member(id)
+		guardian, lost := m.state.Member(id), m.state.Lost(id)
 		m.mu.Unlock()
-		if guardian == nil || guardian.Succeeded {
+		if lost {
 			continue
 		}
 		call := &peerpb.Call{Kind: &peerpb.Call_Consent{Consent: &peerpb.Consent{
