--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -85,7 +85,6 @@
 	ruleFoldedPair                      // a new guardian counts from its fold
 	ruleConsent                         // consent is refused after a promise
 	ruleConsentNeeded                   // a new pair needs consent or the loss of both guardians
-	ruleConsentEpoch                    // consent counts for its epoch only
 	ruleHeirOnly                        // after an off-log promise only the heir revokes
 	ruleHeirConsented                   // no heir after a consent
 	ruleHeirRevokeSent                  // no heir after a revoke was sent
--- a/core/lease/pair.go
+++ b/core/lease/pair.go
@@ -18,7 +18,7 @@
 func (b *Book) ProposePair(now time.Time, epoch uint64, pair [2]record.Incarnation, consent record.Incarnation) (record.Guardians, bool) {
 	b.Tick(now)
 	m := b.state.Member(b.me)
-	if m == nil || m.Succeeded || (m.Epoch != epoch && b.on(ruleConsentEpoch)) {
+	if m == nil || m.Succeeded || m.Epoch != epoch {
 		return record.Guardians{}, false
 	}
 	if m.Epoch > 0 && consent == "" && !b.Unguarded() && b.on(ruleConsentNeeded) {
