Show each proof failing with its rule off

Cause: the proofs with real processes had been seen passing only.

Change: in the tests of a freeze and of a cut, callers use the daemon while its view is old; TestMovesWaitForRequests moves a slot under a long registration.

--- a/test/integration/faults_test.go
+++ b/test/integration/faults_test.go
@@ -79,6 +79,8 @@
 		{"freeze the daemon", func(r *run, victim, _ *processes.Server) {
 			victim.Daemon.Freeze()
 			r.gone(victim)
+			// Its callers find it as it wakes, with an old view of the log.
+			r.load.use(victim)
 			settle()
 			victim.Daemon.Thaw()
 		}},
@@ -106,6 +108,9 @@
 			r.fleet.Cut(victim, faultproxy.Drop, faultproxy.Drop)
 			r.fleet.CutLog(victim, faultproxy.Drop)
 			r.gone(victim)
+			// Its callers still reach it, and it has an old view of the log.
+			r.load.use(victim)
+			settle()
 			settle()
 			r.fleet.Heal(victim)
 		}},
--- a/test/integration/promises_test.go
+++ b/test/integration/promises_test.go
@@ -483,6 +483,54 @@
 	}
 }
 
+// TestMovesWaitForRequests has a key move while a registration is under way at
+// its owner: the next owner runs nothing for it before that has ended.
+func TestMovesWaitForRequests(t *testing.T) {
+	fleet := start(t, processes.Options{Servers: specs(3, 0)})
+	const key = "rosa-alba"
+	owner, _ := ownerOf(t, fleet, key)
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		res := load.NewCaller("breeder").Do(context.Background(), load.Request{
+			Method: http.MethodPost, URL: owner.URL("/registry/" + key + "?work_ms=350"), ID: "long",
+			Class: request.Write, Deadline: requestDeadline, Body: []byte("mine"),
+		})
+		if res.Status != http.StatusCreated {
+			t.Errorf("the registration ended as %s: %d %s", res.End, res.Status, res.Reason)
+		}
+	})
+	waitRuns(t, fleet, 1)
+	if err := owner.SetFaults(targetserver.Faults{State: "draining"}); err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	nursery := load.NewCaller("nursery")
+	wg.Go(func() {
+		for i := 0; ctx.Err() == nil; i++ {
+			nursery.Do(context.Background(), load.Request{
+				Method: http.MethodGet, URL: fleet.Servers[i%3].URL("/registry/" + key), ID: fmt.Sprint(i), Deadline: requestDeadline,
+			})
+		}
+	})
+	(&run{t: t, fleet: fleet}).gone(owner)
+	next, _ := ownerOf(t, fleet, key)
+	res := nursery.Do(context.Background(), load.Request{
+		Method: http.MethodGet, URL: next.URL("/registry/" + key), ID: "last", Deadline: requestDeadline,
+	})
+	stop()
+	wg.Wait()
+	if string(res.Body) != "mine" {
+		t.Errorf("the next owner knows %q (%s %s)", res.Body, res.End, res.Reason)
+	}
+	runs, err := targetserver.Runs(fleet.Dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if audit := targetserver.Inspect(runs); audit.MostOwners > 1 || audit.Stale > 0 {
+		t.Errorf("%d owners at a time, %d stale", audit.MostOwners, audit.Stale)
+	}
+}
+
 // TestOperators checks the operators' interface as the commands use it.
 func TestOperators(t *testing.T) {
 	fleet := start(t, processes.Options{Servers: specs(3, 1)})
