--- a/core/settings/values.go
+++ b/core/settings/values.go
@@ -59,9 +59,6 @@
 // DefaultDeadline returns the deadline of a request that names none.
 func (v *Values) DefaultDeadline() time.Duration { return millis(v.DefaultDeadlineMs) }
 
-// MaxDeadline returns the longest deadline that a request may name.
-func (v *Values) MaxDeadline() time.Duration { return millis(v.MaxDeadlineMs) }
-
 // ProgressTimeout returns how long a connection may go without progress.
 func (v *Values) ProgressTimeout() time.Duration { return millis(v.ProgressTimeoutMs) }
 
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -48,6 +48,7 @@
 	member    *member.Member
 	client    *target.Client
 	runner    *target.Runner
+	memory    *dedup.Memory
 	watch     *target.Watch
 	callers   *http.Server
 	operators *http.Server
@@ -133,7 +134,7 @@
 // start makes the parts and connects them.
 func (d *Daemon) start(bootID string) {
 	scope := d.telemetry.Scope
-	memory := dedup.New()
+	d.memory = dedup.New()
 	d.platform = platformlog.New(d.cfg.Log, d.cfg.Daemon.Addr())
 	d.pool = peer.NewPool(d.cfg.Server, d.cfg.Daemon.Addr(), d.log.Named("peer"))
 	d.member = member.New(member.Config{
@@ -151,12 +152,12 @@
 	}, member.Deps{
 		Log:     d.platform,
 		Pool:    d.pool,
-		Memory:  memory,
+		Memory:  d.memory,
 		Metrics: scope,
 		Logger:  d.log.Named("member"),
 	})
 	d.client = target.NewClient(d.cfg.Target, d.telemetry.Tracer)
-	d.runner = target.NewRunner(d.member, d.client, memory, scope)
+	d.runner = target.NewRunner(d.member, d.client, d.memory, scope)
 	d.watch = target.NewWatch(d.member, d.client, d.runner, scope, d.log.Named("target"))
 	entry := caller.New(d.member, d.runner, d.pool, d.telemetry.Tracer, scope)
 	d.peers = peer.NewServer(d.listeners.peers, d.cfg.Server, &handler{
@@ -181,7 +182,8 @@
 // trafficEvery is how often the counts of bytes are passed to the metrics.
 const trafficEvery = time.Second
 
-// countTraffic passes the counts of bytes to the metrics.
+// countTraffic passes the counts of bytes, and others that are kept elsewhere, to
+// the metrics.
 func (d *Daemon) countTraffic() {
 	report := func(to string, traffic ...*meter.Traffic) {
 		received, sent := int64(0), int64(0)
@@ -197,6 +199,7 @@
 	for _, purpose := range []peer.Purpose{peer.Control, peer.Requests, peer.Bulk} {
 		report(purpose.String(), d.pool.Traffic(purpose), d.peers.Traffic(purpose))
 	}
+	d.telemetry.Scope.Gauge("request_ids_evicted").Update(float64(d.memory.Evicted()))
 	d.telemetry.Scope.Gauge("sessions_open").Update(float64(d.pool.Sessions()))
 }
 
--- a/io/member/journal.go
+++ b/io/member/journal.go
@@ -33,25 +33,36 @@
 	if pair, ok := rec.(record.Guardians); ok && pair.Epoch == 1 {
 		j.joinedAt = now
 	}
-	entry := JournalEntry{Offset: offset, Kind: record.Kind(rec), Text: describe(rec), rec: rec}
+	if !journalled(rec) {
+		return
+	}
+	entry := JournalEntry{Offset: offset, Kind: record.Kind(rec), rec: rec}
 	if v, ok := verdict.(fleet.Ignored); ok {
 		entry.Ignored = v.Reason
 	}
-	if snap, ok := rec.(record.Snapshot); ok {
-		snap.State = nil
-		entry.rec = snap
-	}
 	j.entries = append(j.entries, entry)
 	if len(j.entries) >= 2*journalLength {
 		j.entries = append([]JournalEntry(nil), j.entries[journalLength:]...)
 	}
 }
 
+// journalled reports whether rec concerns membership or ownership. Edits and
+// snapshots do not; they may be large.
+func journalled(rec record.Record) bool {
+	switch rec.(type) {
+	case record.Edit, record.Snapshot, record.Planner:
+		return false
+	default:
+		return true
+	}
+}
+
 // about returns the entries that concern a unit or one of its owners.
 func (j *journal) about(service string, key string, slot int, owners map[record.Incarnation]bool) []JournalEntry {
 	var found []JournalEntry
 	for _, e := range j.entries {
 		if concerns(e.rec, service, key, slot, owners) {
+			e.Text = describe(e.rec)
 			found = append(found, e)
 		}
 	}
@@ -78,6 +89,10 @@
 		return owners[rec.By]
 	case record.Guardians:
 		return owners[rec.By]
+	case record.Accuse:
+		return owners[rec.Of]
+	case record.Alive:
+		return owners[rec.By]
 	default:
 		return false
 	}
@@ -105,12 +120,6 @@
 		return fmt.Sprintf("%s asks whether %s still reads the log", rec.By, rec.Of)
 	case record.Alive:
 		return fmt.Sprintf("%s still reads the log", rec.By)
-	case record.Planner:
-		return fmt.Sprintf("%s plans service %s (term %d)", rec.By, rec.Service, rec.Term)
-	case record.Edit:
-		return fmt.Sprintf("edit %s of node %s by %q", rec.ID, rec.Node, rec.Author)
-	case record.Snapshot:
-		return fmt.Sprintf("%s appends a snapshot as of offset %d", rec.By, rec.AsOf)
 	default:
 		panic(fmt.Sprintf("unexpected record.Record %T", rec))
 	}
--- a/io/member/member.go
+++ b/io/member/member.go
@@ -236,8 +236,6 @@
 	ID     record.Incarnation
 	Daemon netip.AddrPort
 	Caller netip.AddrPort
-	// Zone is the owner's availability zone.
-	Zone string
 	// Local is whether this daemon itself serves the request.
 	Local bool
 }
@@ -266,7 +264,7 @@
 
 // route returns the route to mem.
 func (m *Member) route(mem *fleet.Member) Route {
-	return Route{ID: mem.ID, Daemon: mem.Daemon, Caller: mem.Caller, Zone: mem.Zone, Local: mem.ID == m.me}
+	return Route{ID: mem.ID, Daemon: mem.Daemon, Caller: mem.Caller, Local: mem.ID == m.me}
 }
 
 // Shared returns the routes to the members of a shared service that take new
--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -83,12 +83,12 @@
 	start time.Time
 	tally *load.Tally
 	gaps  *load.Gaps
+	// entries are the daemons that callers use.
+	entries *processes.Entries
 
 	mu sync.Mutex
 	// notRun are the ids of registrations that were reported as not run.
 	notRun map[string]bool
-	// entries are the servers whose daemons take requests.
-	entries []*processes.Server
 }
 
 // Run runs the demonstration with the programs in bin and writes to out.
@@ -107,7 +107,7 @@
 	defer fleet.Close()
 	d := &demo{
 		out: out, fleet: fleet, start: time.Now(), tally: load.NewTally(), gaps: load.NewGaps(),
-		notRun: map[string]bool{}, entries: slices.Clone(fleet.Servers),
+		notRun: map[string]bool{}, entries: processes.NewEntries(fleet),
 	}
 	return d.run(ctx)
 }
@@ -166,7 +166,7 @@
 // loseVM kills a VM and replaces it.
 func (d *demo) loseVM(ctx context.Context, killed *processes.Server) error {
 	d.say("%s loses its VM: the daemon and the target are killed", killed.Spec.Name)
-	d.avoid(killed)
+	d.entries.Avoid(killed)
 	killed.Daemon.Kill()
 	killed.Target.Kill()
 	if err := d.awaitOwned(ctx, killed.Spec.Name); err != nil {
@@ -182,14 +182,14 @@
 		return err
 	}
 	pause(ctx, 2*time.Second)
-	d.use(killed)
+	d.entries.Use(killed)
 	return nil
 }
 
 // freeze stops a daemon past its lease and wakes it.
 func (d *demo) freeze(ctx context.Context, frozen *processes.Server) error {
 	d.say("%s freezes", frozen.Spec.Name)
-	d.avoid(frozen)
+	d.entries.Avoid(frozen)
 	frozen.Daemon.Freeze()
 	if err := d.awaitOwned(ctx, frozen.Spec.Name); err != nil {
 		return err
@@ -198,7 +198,7 @@
 	frozen.Daemon.Thaw()
 	d.say("%s wakes, finds itself revoked and joins as a stranger", frozen.Spec.Name)
 	pause(ctx, 2*time.Second)
-	d.use(frozen)
+	d.entries.Use(frozen)
 	return nil
 }
 
@@ -210,32 +210,11 @@
 	}
 }
 
-// avoid keeps callers away from a daemon that is about to fail.
-func (d *demo) avoid(s *processes.Server) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.entries = slices.DeleteFunc(slices.Clone(d.entries), func(e *processes.Server) bool { return e == s })
-}
-
-// use lets callers use a daemon again.
-func (d *demo) use(s *processes.Server) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.entries = append(slices.Clone(d.entries), s)
-}
-
-// entry returns a random daemon.
-func (d *demo) entry() *processes.Server {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.entries[rand.N(len(d.entries))]
-}
-
 // awaitOwned waits until the server owns no slot and every slot has an owner.
 func (d *demo) awaitOwned(ctx context.Context, server string) error {
 	ctx, cancel := context.WithTimeout(ctx, 15*time.Second)
 	defer cancel()
-	return d.entry().UntilStatus(ctx, func(st member.FleetStatus) string {
+	return d.entries.Pick(rand.IntN).UntilStatus(ctx, func(st member.FleetStatus) string {
 		return processes.OwnsNothing(st, server)
 	})
 }
@@ -245,7 +224,7 @@
 	ctx, cancel := context.WithTimeout(ctx, 16*time.Second)
 	defer cancel()
 	start := time.Now()
-	fate, err := d.entry().Operator.Publish(ctx, settings.Edit{
+	fate, err := d.entries.Pick(rand.IntN).Operator.Publish(ctx, settings.Edit{
 		ID:     member.NewEditID(),
 		Node:   "/registry/rosa-",
 		Patch:  json.RawMessage(`{"values": {"default_deadline_ms": 4000}}`),
@@ -255,7 +234,7 @@
 		return 0, fmt.Errorf("edit was not accepted: %s %w", fate.Reason, err)
 	}
 	d.say("a settings edit is accepted as version %d", fate.Offset+1)
-	err = d.entry().UntilStatus(ctx, func(st member.FleetStatus) string {
+	err = d.entries.Pick(rand.IntN).UntilStatus(ctx, func(st member.FleetStatus) string {
 		return processes.InForce(st, fate.Offset+1)
 	})
 	if err != nil {
@@ -299,7 +278,7 @@
 // send sends a request to a random entry and notes how it ended.
 func (d *demo) send(c *load.Caller, kind string, i int, key string, r load.Request) load.Result {
 	r.ID = fmt.Sprintf("%s-%d", kind, i)
-	r.URL = d.entry().URL(r.URL)
+	r.URL = d.entries.Pick(rand.IntN).URL(r.URL)
 	sent := time.Now()
 	res := c.Do(context.Background(), r)
 	if key != "" {
--- a/standin/logservice/logservice.go
+++ b/standin/logservice/logservice.go
@@ -35,21 +35,12 @@
 	Retain int `json:"retain"`
 }
 
-// Stats counts what was asked of the log.
-type Stats struct {
-	Appends     int64 `json:"appends"`
-	AppendBytes int64 `json:"append_bytes"`
-	Reads       int64 `json:"reads"`
-	ReadBytes   int64 `json:"read_bytes"`
-}
-
 // Server is the stand-in. It implements http.Handler.
 type Server struct {
 	mux *http.ServeMux
 
 	mu      sync.Mutex
 	faults  Faults
-	stats   Stats
 	first   uint64
 	records []json.RawMessage
 	// grown is closed and replaced at each append.
@@ -63,7 +54,6 @@
 	s.mux.HandleFunc("GET /v1/records", s.read)
 	s.mux.HandleFunc("GET /v1/offsets", s.offsets)
 	s.mux.HandleFunc("PUT /standin/faults", s.putFaults)
-	s.mux.HandleFunc("GET /standin/stats", s.getStats)
 	return s
 }
 
@@ -101,13 +91,6 @@
 	return entries
 }
 
-// Stats returns what was asked of the log so far.
-func (s *Server) Stats() Stats {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.stats
-}
-
 func (s *Server) add(data json.RawMessage) uint64 {
 	offset := s.first + uint64(len(s.records))
 	s.records = append(s.records, data)
@@ -170,8 +153,6 @@
 	}
 	s.mu.Lock()
 	offset := s.add(data)
-	s.stats.Appends++
-	s.stats.AppendBytes += int64(len(data))
 	lose := s.faults.LoseAnswers > 0
 	if lose {
 		s.faults.LoseAnswers--
@@ -207,13 +188,7 @@
 		http.Error(w, "offset is forgotten", http.StatusGone)
 		return
 	}
-	data, _ := json.Marshal(batch)
-	s.mu.Lock()
-	s.stats.Reads++
-	s.stats.ReadBytes += int64(len(data))
-	s.mu.Unlock()
-	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(data)
+	writeJSON(w, batch)
 }
 
 // wait returns once there is a record at from, wait has passed, or the log
@@ -284,10 +259,6 @@
 	writeJSON(w, faults)
 }
 
-func (s *Server) getStats(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, s.Stats())
-}
-
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
--- a/standin/measure/recovery.go
+++ b/standin/measure/recovery.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -33,9 +32,8 @@
 	ctx    context.Context
 	fleet  *processes.Fleet
 	victim *processes.Server
-
-	mu      sync.Mutex
-	avoided []*processes.Server
+	// entries are the daemons that the callers use.
+	entries *processes.Entries
 }
 
 // recoveryFaults are the things that happen.
@@ -183,8 +181,8 @@
 	defer fleet.Close()
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
-	t := &trial{ctx: ctx, fleet: fleet, victim: fleet.Servers[1+round%6]}
-	t.avoided = []*processes.Server{t.victim}
+	victim := fleet.Servers[1+round%6]
+	t := &trial{ctx: ctx, fleet: fleet, victim: victim, entries: processes.NewEntries(fleet, victim)}
 	st, err := fleet.Servers[0].Operator.Status(ctx)
 	if err != nil {
 		return r, err
@@ -206,7 +204,7 @@
 	if err != nil {
 		return r, err
 	}
-	st, err = t.entry().Operator.Status(ctx)
+	st, err = t.entries.Pick(rand.IntN).Operator.Status(ctx)
 	if err == nil {
 		r.moved = st.Services[0].Changes - before
 	}
@@ -216,21 +214,19 @@
 // zone returns the servers in the victim's availability zone, and keeps the
 // callers from using their daemons.
 func (t *trial) zone() []*processes.Server {
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	var list []*processes.Server
 	for _, s := range t.fleet.Servers {
 		if s.Spec.Zone == t.victim.Spec.Zone {
 			list = append(list, s)
+			t.entries.Avoid(s)
 		}
 	}
-	t.avoided = list
 	return list
 }
 
 // gone waits until the victim owns nothing.
 func (t *trial) gone() error {
-	return t.entry().UntilStatus(t.ctx, func(st member.FleetStatus) string {
+	return t.entries.Pick(rand.IntN).UntilStatus(t.ctx, func(st member.FleetStatus) string {
 		return processes.OwnsNothing(st, t.victim.Spec.Name)
 	})
 }
@@ -243,7 +239,7 @@
 		key := fmt.Sprintf("k%d", i%recoveryKeys)
 		sent := time.Now()
 		res := c.Do(context.Background(), load.Request{
-			Method: http.MethodGet, URL: t.entry().URL("/registry/" + key), ID: fmt.Sprint(i),
+			Method: http.MethodGet, URL: t.entries.Pick(rand.IntN).URL("/registry/" + key), ID: fmt.Sprint(i),
 			Class: request.Lookup, Deadline: 8 * time.Second,
 		})
 		r.gaps.Add(key, sent, time.Now(), res.End == load.Answered)
@@ -252,18 +248,6 @@
 	g.Run(ctx, time.Hour)
 }
 
-// entry returns a random daemon that is not avoided.
-func (t *trial) entry() *processes.Server {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for {
-		s := t.fleet.Servers[rand.N(len(t.fleet.Servers))]
-		if !slices.Contains(t.avoided, s) {
-			return s
-		}
-	}
-}
-
 // pause waits for t.
 func pause(ctx context.Context, t time.Duration) {
 	select {
--- /dev/null
+++ b/standin/processes/entries.go
@@ -0,0 +1,50 @@
+package processes
+
+import (
+	"slices"
+	"sync"
+)
+
+// Entries are the daemons of a fleet that callers use. It is safe for
+// concurrent use.
+type Entries struct {
+	servers []*Server
+
+	mu      sync.Mutex
+	avoided []*Server
+}
+
+// NewEntries returns the daemons of fleet but those avoided.
+func NewEntries(fleet *Fleet, avoided ...*Server) *Entries {
+	return &Entries{servers: fleet.Servers, avoided: avoided}
+}
+
+// Avoid keeps callers from using the daemon of s.
+func (e *Entries) Avoid(s *Server) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.avoided = append(e.avoided, s)
+}
+
+// Use lets callers use the daemon of s again.
+func (e *Entries) Use(s *Server) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.avoided = slices.DeleteFunc(e.avoided, func(a *Server) bool { return a == s })
+}
+
+// Avoids reports whether callers do not use the daemon of s.
+func (e *Entries) Avoids(s *Server) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Contains(e.avoided, s)
+}
+
+// Pick returns a daemon to use; intN returns a random number below its argument.
+func (e *Entries) Pick(intN func(int) int) *Server {
+	for {
+		if s := e.servers[intN(len(e.servers))]; !e.Avoids(s) {
+			return s
+		}
+	}
+}
--- a/standin/processes/processes.go
+++ b/standin/processes/processes.go
@@ -270,17 +270,6 @@
 	return f.put("http://"+f.LogAddr.String()+"/standin/faults", faults)
 }
 
-// LogStats returns what was asked of the log.
-func (f *Fleet) LogStats() (logservice.Stats, error) {
-	var stats logservice.Stats
-	resp, err := f.http.Get("http://" + f.LogAddr.String() + "/standin/stats")
-	if err != nil {
-		return stats, err
-	}
-	defer resp.Body.Close()
-	return stats, json.NewDecoder(resp.Body).Decode(&stats)
-}
-
 // put sends v as JSON.
 func (f *Fleet) put(url string, v any) error {
 	body, err := json.Marshal(v)
--- a/test/integration/faults_test.go
+++ b/test/integration/faults_test.go
@@ -25,7 +25,7 @@
 func (r *run) gone(victim *processes.Server) {
 	r.t.Helper()
 	witness := r.fleet.Servers[0]
-	for i := 1; witness == victim || r.load != nil && r.load.avoids(witness); i++ {
+	for i := 1; witness == victim || r.load != nil && r.load.entries.Avoids(witness); i++ {
 		witness = r.fleet.Servers[i]
 	}
 	err := witness.UntilStatus(within(r.t), func(st member.FleetStatus) string {
@@ -83,7 +83,7 @@
 			victim.Daemon.Freeze()
 			r.gone(victim)
 			// Its callers find it as it wakes, with an old view of the log.
-			r.load.use(victim)
+			r.load.entries.Use(victim)
 			settle()
 			victim.Daemon.Thaw()
 		}},
@@ -96,7 +96,7 @@
 			}
 		}},
 		{"freeze owner and guardian", func(r *run, victim, guardian *processes.Server) {
-			r.load.avoid(guardian)
+			r.load.entries.Avoid(guardian)
 			victim.Daemon.Freeze()
 			guardian.Daemon.Freeze()
 			settle()
@@ -112,7 +112,7 @@
 			r.fleet.CutLog(victim, faultproxy.Drop)
 			r.gone(victim)
 			// Its callers still reach it, and it has an old view of the log.
-			r.load.use(victim)
+			r.load.entries.Use(victim)
 			settle()
 			settle()
 			r.fleet.Heal(victim)
@@ -223,7 +223,7 @@
 		}},
 		{"replace every VM in turn", func(r *run, _, _ *processes.Server) {
 			for _, s := range r.fleet.Servers {
-				r.load.avoid(s)
+				r.load.entries.Avoid(s)
 				s.Daemon.Kill()
 				s.Target.Kill()
 				r.gone(s)
@@ -232,7 +232,7 @@
 				}
 				r.restart(s)
 				r.ready()
-				r.load.use(s)
+				r.load.entries.Use(s)
 			}
 		}},
 	}
@@ -246,9 +246,9 @@
 			victim, guardian := ownerOf(t, fleet, "rosa-0-0")
 			r := &run{t: t, fleet: fleet, load: startWorkload(t, fleet)}
 			settle()
-			r.load.avoid(victim)
+			r.load.entries.Avoid(victim)
 			tt.fault(r, victim, guardian)
-			r.load.use(victim)
+			r.load.entries.Use(victim)
 			r.ready()
 			settle()
 			r.load.finish()
@@ -284,7 +284,7 @@
 	for _, s := range r.fleet.Servers {
 		if lost(s) {
 			gone = append(gone, s)
-			r.load.avoid(s)
+			r.load.entries.Avoid(s)
 		}
 	}
 	for _, s := range gone {
@@ -299,7 +299,7 @@
 			r.t.Fatal(err)
 		}
 		r.restart(s)
-		r.load.use(s)
+		r.load.entries.Use(s)
 	}
 }
 
--- a/test/integration/promises_test.go
+++ b/test/integration/promises_test.go
@@ -345,7 +345,7 @@
 	}
 	waitRuns(t, fleet, len(results))
 	w := startWorkload(t, fleet)
-	w.avoid(leaving)
+	w.entries.Avoid(leaving)
 	leaving.Daemon.Signal(syscall.SIGTERM)
 	err := fleet.Servers[0].UntilStatus(within(t), func(st member.FleetStatus) string {
 		for _, m := range st.Members {
@@ -393,7 +393,7 @@
 	})
 	cut := fleet.Servers[3]
 	w := startWorkload(t, fleet)
-	w.avoid(cut)
+	w.entries.Avoid(cut)
 	r := &run{t: t, fleet: fleet, load: w}
 	fleet.CutLog(cut, faultproxy.Drop)
 	r.logFaults(logservice.Faults{Retain: 40})
@@ -404,7 +404,7 @@
 		}
 	}
 	restarted := fleet.Servers[1]
-	w.avoid(restarted)
+	w.entries.Avoid(restarted)
 	restarted.Daemon.Kill()
 	r.restart(restarted)
 	fleet.Heal(cut)
--- a/test/integration/workload_test.go
+++ b/test/integration/workload_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -34,16 +33,17 @@
 type workload struct {
 	t     *testing.T
 	fleet *processes.Fleet
-	tally *load.Tally
-	gaps  *load.Gaps
-	stop  context.CancelFunc
-	wg    sync.WaitGroup
-	began time.Time
+	// entries are the daemons that the clients use.
+	entries *processes.Entries
+	tally   *load.Tally
+	gaps    *load.Gaps
+	stop    context.CancelFunc
+	wg      sync.WaitGroup
+	began   time.Time
 
 	mu      sync.Mutex
 	history []porcupine.Operation
 	notRun  map[string]bool
-	avoided []*processes.Server
 }
 
 // op is a request on a name in the history.
@@ -68,7 +68,7 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &workload{
-		t: t, fleet: fleet, tally: load.NewTally(), gaps: load.NewGaps(), stop: cancel,
+		t: t, fleet: fleet, entries: processes.NewEntries(fleet), tally: load.NewTally(), gaps: load.NewGaps(), stop: cancel,
 		began: time.Now(), notRun: map[string]bool{},
 	}
 	for client := range clients {
@@ -79,39 +79,6 @@
 	return w
 }
 
-// avoid keeps the clients from using the daemon of s as entry.
-func (w *workload) avoid(s *processes.Server) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.avoided = append(w.avoided, s)
-}
-
-// use lets the clients use the daemon of s again.
-func (w *workload) use(s *processes.Server) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.avoided = slices.DeleteFunc(w.avoided, func(a *processes.Server) bool { return a == s })
-}
-
-// avoids reports whether the clients do not use the daemon of s.
-func (w *workload) avoids(s *processes.Server) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return slices.Contains(w.avoided, s)
-}
-
-// entry returns a random daemon.
-func (w *workload) entry(rng *rand.Rand) *processes.Server {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for {
-		s := w.fleet.Servers[rng.IntN(len(w.fleet.Servers))]
-		if !slices.Contains(w.avoided, s) {
-			return s
-		}
-	}
-}
-
 // client is one client, which sends one request after the other.
 func (w *workload) client(ctx context.Context, client int, rng *rand.Rand) {
 	caller := load.NewCaller(fmt.Sprintf("client-%d", client))
@@ -123,7 +90,7 @@
 		if o.register {
 			o.value = id
 		}
-		w.request(caller, client, id, o, w.entry(rng))
+		w.request(caller, client, id, o, w.entries.Pick(rng.IntN))
 	}
 }
 
