Ask a daemon that can answer who owns the key of a frozen one

Cause: once the owner is frozen, the test asks Servers[0] who owns the key now. Who owns "rosa-alba" depends on the order in which the daemons announced themselves. In the run that failed registry-1 owned it, so the test asked the daemon that it had frozen. TestMovesWaitForRequests and lookup have the same weakness in a milder form: they asked the past owner, which may still see the fleet as it was.

Ruled out: the fleet. The log of that run has the frozen owner revoked 2.3 s after the freeze, and every process that was not frozen answered.

Change: the key is now one that Servers[0] owns, so that the worst case is the case that runs, every time. ownerOf, guardiansOf and gone ask one witness, which is none of the servers that the test did something to.

Conclusion: a fault of the test, not of the fleet; nothing is checked less.

--- a/standin/processes/entries.go
+++ b/standin/processes/entries.go
@@ -33,17 +33,17 @@
 	e.avoided = slices.DeleteFunc(e.avoided, func(a *Server) bool { return a == s })
 }
 
-// Avoids reports whether callers do not use the daemon of s.
-func (e *Entries) Avoids(s *Server) bool {
+// Avoided returns the servers whose daemons callers do not use.
+func (e *Entries) Avoided() []*Server {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return slices.Contains(e.avoided, s)
+	return slices.Clone(e.avoided)
 }
 
 // Pick returns a daemon to use; intN returns a random number below its argument.
 func (e *Entries) Pick(intN func(int) int) *Server {
 	for {
-		if s := e.servers[intN(len(e.servers))]; !e.Avoids(s) {
+		if s := e.servers[intN(len(e.servers))]; !slices.Contains(e.Avoided(), s) {
 			return s
 		}
 	}
--- a/test/integration/faults_test.go
+++ b/test/integration/faults_test.go
@@ -24,11 +24,11 @@
 // gone waits until a server owns nothing and all slots have an owner.
 func (r *run) gone(victim *processes.Server) {
 	r.t.Helper()
-	witness := r.fleet.Servers[0]
-	for i := 1; witness == victim || r.load != nil && r.load.entries.Avoids(witness); i++ {
-		witness = r.fleet.Servers[i]
+	past := []*processes.Server{victim}
+	if r.load != nil {
+		past = append(past, r.load.entries.Avoided()...)
 	}
-	err := witness.UntilStatus(within(r.t), func(st member.FleetStatus) string {
+	err := witness(r.fleet, past...).UntilStatus(within(r.t), func(st member.FleetStatus) string {
 		return processes.OwnsNothing(st, victim.Spec.Name)
 	})
 	if err != nil {
@@ -265,7 +265,7 @@
 		Config:  map[string]any{"blind_limit_ms": 5000},
 	})
 	victim, _ := ownerOf(t, fleet, "rosa-0-0")
-	guardians := guardiansOf(t, fleet, victim)
+	guardians := guardiansOf(t, fleet, victim, fleet.Servers[0])
 	r := &run{t: t, fleet: fleet, load: startWorkload(t, fleet)}
 	settle()
 	r.loseAll(func(s *processes.Server) bool {
--- a/test/integration/promises_test.go
+++ b/test/integration/promises_test.go
@@ -45,8 +45,9 @@
 				tree = `{"services": {"registry": {"kind": "divided", "slots": 16, "values": {"target_checks_grants": true}}}}`
 			}
 			fleet := start(t, processes.Options{Servers: specs(4, 0, tt.args...), Tree: json.RawMessage(tree)})
-			const key = "rosa-alba"
-			owner, _ := ownerOf(t, fleet, key)
+			// The owner is the daemon that tests ask about the fleet if they can.
+			owner := fleet.Servers[0]
+			key := keyOf(t, fleet, owner)
 			first := load.NewCaller("first")
 			var wg sync.WaitGroup
 			wg.Go(func() {
@@ -59,7 +60,7 @@
 			owner.Daemon.Freeze()
 			r := &run{t: t, fleet: fleet}
 			r.gone(owner)
-			next, _ := ownerOf(t, fleet, key)
+			next, _ := ownerOf(t, fleet, key, owner)
 			second := load.NewCaller("second")
 			res := second.Do(context.Background(), load.Request{
 				Method: http.MethodPost, URL: next.URL("/registry/" + key), ID: "short",
@@ -71,7 +72,7 @@
 			waitEnded(t, fleet)
 			owner.Daemon.Thaw()
 			wg.Wait()
-			value := lookup(t, fleet, key)
+			value := lookup(t, fleet, key, owner)
 			if broken := value != "second"; broken != tt.broken {
 				t.Errorf("the name belongs to %q, broken %v, want broken %v", value, broken, tt.broken)
 			}
@@ -115,10 +116,11 @@
 }
 
 // lookup returns the value of a name after every daemon has moved on: it makes
-// the owner release the key's slot, so that the next owner reads it afresh.
-func lookup(t *testing.T, fleet *processes.Fleet, key string) string {
+// the owner release the key's slot, so that the next owner reads it afresh. The
+// daemon of past, which may see the fleet as it was, is not asked.
+func lookup(t *testing.T, fleet *processes.Fleet, key string, past *processes.Server) string {
 	t.Helper()
-	owner, _ := ownerOf(t, fleet, key)
+	owner, _ := ownerOf(t, fleet, key, past)
 	if err := owner.SetFaults(targetserver.Faults{State: "draining"}); err != nil {
 		t.Fatal(err)
 	}
@@ -126,7 +128,7 @@
 	r.gone(owner)
 	c := load.NewCaller("witness")
 	res := c.Do(context.Background(), load.Request{
-		Method: http.MethodGet, URL: fleet.Servers[0].URL("/registry/" + key), ID: "look", Deadline: 3 * time.Second,
+		Method: http.MethodGet, URL: witness(fleet, owner, past).URL("/registry/" + key), ID: "look", Deadline: 3 * time.Second,
 	})
 	if res.End != load.Answered {
 		t.Fatalf("lookup ended as %s: %s", res.End, res.Reason)
@@ -487,8 +489,8 @@
 // its owner: the next owner runs nothing for it before that has ended.
 func TestMovesWaitForRequests(t *testing.T) {
 	fleet := start(t, processes.Options{Servers: specs(3, 0)})
-	const key = "rosa-alba"
-	owner, _ := ownerOf(t, fleet, key)
+	owner := fleet.Servers[0]
+	key := keyOf(t, fleet, owner)
 	var wg sync.WaitGroup
 	wg.Go(func() {
 		res := load.NewCaller("breeder").Do(context.Background(), load.Request{
@@ -513,7 +515,7 @@
 		}
 	})
 	(&run{t: t, fleet: fleet}).gone(owner)
-	next, _ := ownerOf(t, fleet, key)
+	next, _ := ownerOf(t, fleet, key, owner)
 	res := nursery.Do(context.Background(), load.Request{
 		Method: http.MethodGet, URL: next.URL("/registry/" + key), ID: "last", Deadline: requestDeadline,
 	})
--- a/test/integration/workload_test.go
+++ b/test/integration/workload_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -235,10 +236,18 @@
 	}
 }
 
-// ownerOf returns the server that owns a key, and its first guardian.
-func ownerOf(t *testing.T, fleet *processes.Fleet, key string) (owner, guardian *processes.Server) {
+// witness returns the first server that is none of past. Its daemon is asked
+// about the fleet, as theirs may not answer or may see the fleet as it was.
+func witness(fleet *processes.Fleet, past ...*processes.Server) *processes.Server {
+	return fleet.Servers[slices.IndexFunc(fleet.Servers, func(s *processes.Server) bool { return !slices.Contains(past, s) })]
+}
+
+// ownerOf returns the server that owns a key, and its first guardian, as the
+// witness sees them that is none of past.
+func ownerOf(t *testing.T, fleet *processes.Fleet, key string, past ...*processes.Server) (owner, guardian *processes.Server) {
 	t.Helper()
-	ex, err := fleet.Servers[0].Operator.Explain(within(t), "registry", key)
+	asked := witness(fleet, past...)
+	ex, err := asked.Operator.Explain(within(t), "registry", key)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -246,13 +255,28 @@
 	if owner == nil {
 		t.Fatalf("owner %q of %q is of no server", ex.Owner, key)
 	}
-	return owner, guardiansOf(t, fleet, owner)[0]
+	return owner, guardiansOf(t, fleet, owner, asked)[0]
+}
+
+// keyOf returns a key that a server owns.
+func keyOf(t *testing.T, fleet *processes.Fleet, server *processes.Server) string {
+	t.Helper()
+	const tries = 1000
+	for i := range tries {
+		key := fmt.Sprint("rosa-alba-", i)
+		if owner, _ := ownerOf(t, fleet, key); owner == server {
+			return key
+		}
+	}
+	t.Fatalf("%s owns none of %d keys", server.Spec.Name, tries)
+	return ""
 }
 
-// guardiansOf returns the guardians of a server's daemon.
-func guardiansOf(t *testing.T, fleet *processes.Fleet, s *processes.Server) [2]*processes.Server {
+// guardiansOf returns the guardians of a server's daemon, as the daemon of asked
+// sees them.
+func guardiansOf(t *testing.T, fleet *processes.Fleet, s, asked *processes.Server) [2]*processes.Server {
 	t.Helper()
-	st, err := fleet.Servers[0].Operator.Status(within(t))
+	st, err := asked.Operator.Status(within(t))
 	if err != nil {
 		t.Fatal(err)
 	}
