Measure the scenarios at both users' sizes, with their delays

"Goodput at three times the capacity" counted answers that came after the phase.

Change: each scenario runs for Midlands (7 and 3 servers, 12 slots, 0.5 ms between availability zones, 3 ms to callers) and HCM (8 and 3, 9 slots, 1 and 8 ms). The delay between daemons and to the log is the fault proxies'; the one to callers is the load tool's. Three scenarios are new (servers leave and join, a VM is lost, hot keys move). Rows gain imbalance, units moved, longest unavailable time, and the 99th percentile in the last third of a phase. An answer counts for the goodput if it came within the phase. "standin plot" draws the 99th percentiles of a report as SVG.

Ruled out: fault proxies between callers and entries. Without limits 6,000 requests are under way, each on a connection of its own; three descriptors for each went past the limit of the process, its proxies stopped accepting, all leases lapsed and the run hung. In the first such run one of ten daemons was gone after 5 minutes; its log had not been kept. Two more such runs, of 50 s and 7 minutes with logs, ended none. A scenario now fails if a daemon that nobody stopped has ended, the end of a process is in the logs, and a proxy goes on accepting after an error.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 # make test     all tests that CI runs
 # make lint     formatter and linter
 # make measure  the measurements of docs/MEASUREMENTS.md
+# make plots    the plots of docs/MEASUREMENTS.md
 # make prove    the long proofs of docs/PROOFS.md
 # make seeds    the seeds at which the model notices that a lease rule is off
 
@@ -14,7 +15,7 @@
 SKIP := $(if $(KNOWN_RED),-skip '$(KNOWN_RED)')
 ENV := SISKINKNOT_BIN=$(CURDIR)/bin SISKINKNOT_SEED=$(SEED)
 
-.PHONY: build run test lint measure prove seeds generate
+.PHONY: build run test lint measure plots prove seeds generate
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -41,6 +42,10 @@
 generate:
 	protoc --go_out=. --go_opt=module=siskinknot io/peer/peerpb/peer.proto
 
+# plots draws the plots of the docs from docs/measure.json.
+plots: build
+	bin/standin plot -json docs/measure.json -dir docs
+
 measure: build
 	mkdir -p out
 	bin/standin measure -bin bin -json out/measure.json
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -26,6 +26,7 @@
 	subcommands.Register(&targetCommand{}, "")
 	subcommands.Register(&demoCommand{}, "")
 	subcommands.Register(&measureCommand{}, "")
+	subcommands.Register(&plotCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
@@ -111,12 +112,13 @@
 type measureCommand struct {
 	opts measure.Options
 	only string
+	logs string
 }
 
 func (*measureCommand) Name() string     { return "measure" }
 func (*measureCommand) Synopsis() string { return "take the measurements" }
 func (*measureCommand) Usage() string {
-	return "measure [-bin DIR] [-json FILE] [-only SECTION,...] [-match TEXT] [-rounds N]\n"
+	return "measure [-bin DIR] [-json FILE] [-only SECTION,...] [-match TEXT] [-rounds N] [-logs FILE]\n"
 }
 
 func (c *measureCommand) SetFlags(f *flag.FlagSet) {
@@ -125,6 +127,7 @@
 	f.StringVar(&c.only, "only", "", "sections to run")
 	f.StringVar(&c.opts.Match, "match", "", "part of the names of the cases to run")
 	f.IntVar(&c.opts.Rounds, "rounds", 3, "repetitions of each measurement")
+	f.StringVar(&c.logs, "logs", "", "file to write the daemons' log lines to")
 }
 
 func (c *measureCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
@@ -132,6 +135,15 @@
 	if c.only != "" {
 		c.opts.Only = strings.Split(c.only, ",")
 	}
+	if c.logs != "" {
+		logs, err := os.Create(c.logs)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return subcommands.ExitFailure
+		}
+		defer logs.Close()
+		c.opts.Logs = logs
+	}
 	if _, err := measure.Run(ctx, c.opts); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitFailure
@@ -139,6 +151,32 @@
 	return subcommands.ExitSuccess
 }
 
+// plotCommand draws the plots of the docs.
+type plotCommand struct {
+	json, dir string
+}
+
+func (*plotCommand) Name() string     { return "plot" }
+func (*plotCommand) Synopsis() string { return "draw plots of a report of measure" }
+func (*plotCommand) Usage() string    { return "plot [-json FILE] [-dir DIR]\n" }
+
+func (c *plotCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.json, "json", "docs/measure.json", "report of measure")
+	f.StringVar(&c.dir, "dir", "docs", "directory to write to")
+}
+
+func (c *plotCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	report, err := measure.Load(c.json)
+	if err == nil {
+		err = report.Plot(c.dir)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
 // serve prints the address that it listens on and serves until it fails.
 func serve(addr string, server *http.Server) subcommands.ExitStatus {
 	listener, err := net.Listen("tcp", addr)
--- a/standin/faultproxy/faultproxy.go
+++ b/standin/faultproxy/faultproxy.go
@@ -18,6 +18,9 @@
 	"time"
 )
 
+// acceptPause is the time between two attempts to accept a connection.
+const acceptPause = 10 * time.Millisecond
+
 // Action is what happens to data in one direction.
 type Action int
 
@@ -69,10 +72,14 @@
 	go func() {
 		for {
 			conn, err := listener.Accept()
-			if err != nil {
+			switch {
+			case errors.Is(err, net.ErrClosed):
 				return
+			case err != nil: // such as too many open files
+				time.Sleep(acceptPause)
+			default:
+				go p.serve(conn)
 			}
-			go p.serve(conn)
 		}
 	}()
 	return p, nil
--- a/standin/load/generator.go
+++ b/standin/load/generator.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -86,21 +87,23 @@
 	Send func(ctx context.Context, i int) Result
 	// Tally counts the ends. Latency counts from when a request was due.
 	Tally *Tally
+	// Late counts those that were due in the last third of the time again; nil
+	// counts none.
+	Late *Tally
 }
 
-// Run offers requests for duration, and returns once all have ended.
-func (g *Generator) Run(ctx context.Context, duration time.Duration) {
+// Run offers requests for duration, and returns once all have ended. It returns
+// how many were answered within duration.
+func (g *Generator) Run(ctx context.Context, duration time.Duration) int {
 	start := time.Now()
 	slots := make(chan struct{}, g.Most)
+	var answered atomic.Int64
 	var wg sync.WaitGroup
-	defer wg.Wait()
 	for i := 0; ; i++ {
 		due := start.Add(time.Duration(float64(i) / g.Rate * float64(time.Second)))
-		if due.Sub(start) >= duration {
-			return
-		}
-		if !sleepUntil(ctx, due) {
-			return
+		if due.Sub(start) >= duration || !sleepUntil(ctx, due) {
+			wg.Wait()
+			return int(answered.Load())
 		}
 		select {
 		case slots <- struct{}{}:
@@ -111,7 +114,14 @@
 		wg.Go(func() {
 			defer func() { <-slots }()
 			res := g.Send(ctx, i)
-			g.Tally.Add(res, time.Since(due))
+			took := time.Since(due)
+			g.Tally.Add(res, took)
+			if g.Late != nil && 3*due.Sub(start) > 2*duration {
+				g.Late.Add(res, took)
+			}
+			if res.End == Answered && time.Since(start) <= duration {
+				answered.Add(1)
+			}
 		})
 	}
 }
--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -75,8 +75,11 @@
 
 // Caller sends requests under one name.
 type Caller struct {
-	name string
-	http *http.Client
+	// Delay is how long data takes one way to the entry: a request leaves that
+	// much later and its answer comes that much later.
+	Delay time.Duration
+	name  string
+	http  *http.Client
 }
 
 // NewCaller returns a Caller.
@@ -95,7 +98,9 @@
 // Do sends a request and checks its answer.
 func (c *Caller) Do(ctx context.Context, r Request) Result {
 	start := time.Now()
+	time.Sleep(c.Delay)
 	res := c.do(ctx, r)
+	time.Sleep(c.Delay)
 	res.Took = time.Since(start)
 	return res
 }
--- a/standin/measure/balancing.go
+++ b/standin/measure/balancing.go
@@ -4,13 +4,9 @@
 	"context"
 	"fmt"
 	"math"
-	"math/rand/v2"
-	"net/http"
 	"slices"
-	"strconv"
 	"time"
 
-	"siskinknot/core/request"
 	"siskinknot/io/boottime"
 	"siskinknot/standin/load"
 	"siskinknot/standin/processes"
@@ -32,24 +28,13 @@
 	mended = 1.5
 )
 
-// deployments are the two deployments' services divided by key.
-var deployments = []struct {
-	name    string
-	group   group
-	slots   int
-	targets int
-}{
-	{"Midlands registry", group{service: "registry", servers: 7, zones: "mid"}, 12, 7},
-	{"HCM order-desk", group{service: "order-desk", servers: 8, zones: "hcm"}, 9, 8},
-}
-
 // balancing compares policies of balance under skewed keys whose hot ones
 // change once.
 func balancing(ctx context.Context, opts Options) ([]Table, error) {
 	table := Table{
 		Name: "Balance under skewed and moving hot keys",
 		Note: fmt.Sprintf("Zipf %.1f over %d keys, lookups of %v at %.0f%% of all slots, hot keys change after %v; "+
-			"imbalance is the busiest server's target time over the mean, in the last %v before and after the change",
+			"imbalance is the busiest server's target time over the mean, in the last %v before and after the change; latency is that after it",
 			zipfS, balanceKeys, lookupTime, 100*balanceLoad, balanceTime, windowTime),
 		Columns: []string{
 			"deployment", "policy", "least possible", "first 2 s", "before", "after", "mended after s", "again after s",
@@ -58,10 +43,7 @@
 	}
 	for _, d := range deployments {
 		for _, policy := range []string{"none", "moves", "moves_and_keys"} {
-			d.group.args = []string{"-lookup", lookupTime.String(), "-slots", strconv.Itoa(d.slots)}
-			tree := fmt.Sprintf(`{"services": {%q: {"kind": "divided", "slots": 256,
-				"values": {"target_slots": %d, "balance_policy": %q, "balance_interval_ms": 1000}}}}`, d.group.service, d.slots, policy)
-			row, err := balanceOf(ctx, opts, tree, d.group, d.slots)
+			row, err := balanceOf(ctx, opts, d, policy)
 			if err != nil {
 				return []Table{table}, fmt.Errorf("%s, %s: %w", d.name, policy, err)
 			}
@@ -72,35 +54,21 @@
 }
 
 // balanceOf runs one policy.
-func balanceOf(ctx context.Context, opts Options, tree string, g group, slots int) ([]string, error) {
-	fleet, err := startFleet(ctx, opts, tree, false, specs(g))
+func balanceOf(ctx context.Context, opts Options, d deployment, policy string) ([]string, error) {
+	g := d.groups([]string{"-lookup", lookupTime.String()})[0]
+	tree := fmt.Sprintf(`{"services": {%q: {"kind": "divided", "slots": 256,
+		"values": {"target_slots": %d, "balance_policy": %q, "balance_interval_ms": 1000}}}}`, g.service, d.slots, policy)
+	fleet, err := startFleet(ctx, opts, tree, processes.Options{Servers: specs(g)})
 	if err != nil {
 		return nil, err
 	}
 	defer fleet.Close()
-	rate := balanceLoad * float64(slots*g.servers) / lookupTime.Seconds()
-	tally, gaps := load.NewTally(), load.NewGaps()
-	c := load.NewCaller("clinic")
+	t := &trial{ctx: ctx, fleet: fleet, entries: processes.NewEntries(fleet)}
+	streams := []stream{lookups("lookups", g.service, "clinic", balanceLoad*d.capacity(g, lookupTime), skewed(balanceKeys))}
 	start := boottime.Now()
-	for phase := range 2 {
-		zipf := rand.NewZipf(rand.New(rand.NewPCG(1, uint64(phase))), zipfS, 1, balanceKeys-1)
-		picks := make([]uint64, int(rate*balanceTime.Seconds())+1)
-		for i := range picks {
-			picks[i] = zipf.Uint64()
-		}
-		gen := load.Generator{Rate: rate, Most: mostUnder, Tally: tally, Send: func(ctx context.Context, i int) load.Result {
-			key := fmt.Sprintf("k%d-%d", phase, picks[i])
-			sent := time.Now()
-			res := c.Do(ctx, load.Request{
-				Method: http.MethodGet, URL: fleet.Servers[i%g.servers].URL("/" + g.service + "/" + key),
-				ID: fmt.Sprint(phase, "-", i), Class: request.Lookup, Deadline: 2 * time.Second,
-			})
-			gaps.Add(key, sent, time.Now(), res.End == load.Answered)
-			return res
-		}}
-		gen.Run(ctx, balanceTime)
-	}
-	st, err := fleet.Servers[0].Operator.Status(ctx)
+	first := t.offerAll(streams, 0, balanceTime)[0]
+	second := t.offerAll(streams, 1, balanceTime)[0]
+	churn, err := t.changes()
 	if err != nil {
 		return nil, err
 	}
@@ -108,14 +76,18 @@
 	if err != nil {
 		return nil, err
 	}
-	windows := imbalances(fleet, runs, start)
-	half := int(balanceTime / windowTime)
+	windows := make([]float64, 2*int(balanceTime/windowTime))
+	for i := range windows {
+		from := start.Add(time.Duration(i) * windowTime)
+		windows[i] = imbalance(fleet, g.service, runs, from, from.Add(windowTime))
+	}
+	half := len(windows) / 2
 	return []string{
 		fmt.Sprintf("%.2f", leastImbalance(g.servers)),
 		fmt.Sprintf("%.2f", windows[0]), fmt.Sprintf("%.2f", windows[half-1]), fmt.Sprintf("%.2f", windows[2*half-1]),
 		mendedAfter(windows[:half]), mendedAfter(windows[half:]),
-		fmt.Sprint(st.Services[0].Changes), ms(tally.Quantile(50)), ms(tally.Quantile(99)),
-		fmt.Sprint(tally.Count(load.NotRun)), ms(gaps.Longest()),
+		fmt.Sprint(churn[g.service]), ms(second.tally.Quantile(50)), ms(second.tally.Quantile(99)),
+		fmt.Sprint(first.tally.Count(load.NotRun) + second.tally.Count(load.NotRun)), ms(max(first.gaps.Longest(), second.gaps.Longest())),
 	}, nil
 }
 
@@ -129,30 +101,6 @@
 	return max(1, float64(n)/total)
 }
 
-// imbalances returns the imbalance of each window since start.
-func imbalances(fleet *processes.Fleet, runs []targetserver.Run, start time.Time) []float64 {
-	n := int(2 * balanceTime / windowTime)
-	busy := make([]map[string]time.Duration, n)
-	for i := range busy {
-		busy[i] = map[string]time.Duration{}
-	}
-	for _, run := range runs {
-		if i := int(run.Begin.Sub(start) / windowTime); i >= 0 && i < n && !run.End.IsZero() {
-			busy[i][run.Server] += run.End.Sub(run.Begin)
-		}
-	}
-	list := make([]float64, n)
-	for i, b := range busy {
-		total, most := time.Duration(0), time.Duration(0)
-		for _, d := range b {
-			total += d
-			most = max(most, d)
-		}
-		list[i] = most.Seconds() / max(total.Seconds()/float64(len(fleet.Servers)), 1e-9)
-	}
-	return list
-}
-
 // mendedAfter returns when the imbalance went below mended for good.
 func mendedAfter(windows []float64) string {
 	i := len(windows)
@@ -174,7 +122,7 @@
 	}
 	for _, way := range []string{"random", "round_robin", "two_choices"} {
 		tree := fmt.Sprintf(`{"services": {"archive": {"kind": "shared", "values": {"shared_choice": %q}}}}`, way)
-		fleet, err := startFleet(ctx, opts, tree, false, specs(group{"archive", 3, "mid", []string{"-lookup", "10ms"}}))
+		fleet, err := startFleet(ctx, opts, tree, processes.Options{Servers: specs(group{"archive", 3, "mid", []string{"-lookup", "10ms"}})})
 		if err != nil {
 			return []Table{table}, err
 		}
@@ -183,7 +131,8 @@
 			fleet.Close()
 			return []Table{table}, err
 		}
-		t := offer(ctx, fleet, []stream{lookups("lookups", "nursery", 600, keys("archive", "page", 1000))}, way)[0]
+		t := &trial{ctx: ctx, fleet: fleet, entries: processes.NewEntries(fleet)}
+		o := t.offerAll([]stream{lookups("lookups", "archive", "nursery", 600, even("page", 1000))}, 0, phaseTime)[0]
 		runs, err := targetserver.Runs(fleet.Dir)
 		slow := fleet.Servers[2].Spec.Name
 		fleet.Close()
@@ -192,7 +141,7 @@
 		}
 		atSlow := len(slices.DeleteFunc(slices.Clone(runs), func(r targetserver.Run) bool { return r.Server != slow }))
 		table.Rows = append(table.Rows, []string{
-			way, ms(t.Quantile(50)), ms(t.Quantile(99)), ms(t.Quantile(99.9)), fmt.Sprint(t.Count(load.NotRun)),
+			way, ms(o.tally.Quantile(50)), ms(o.tally.Quantile(99)), ms(o.tally.Quantile(99.9)), fmt.Sprint(o.tally.Count(load.NotRun)),
 			fmt.Sprintf("%.1f", 100*float64(atSlow)/float64(max(len(runs), 1))),
 		})
 	}
--- a/standin/measure/control.go
+++ b/standin/measure/control.go
@@ -38,7 +38,7 @@
 
 // controlOf measures an idle fleet of n daemons.
 func controlOf(ctx context.Context, opts Options, n int) ([]string, error) {
-	fleet, err := startFleet(ctx, opts, controlTree, false, specs(group{"registry", n, "mid", nil}))
+	fleet, err := startFleet(ctx, opts, controlTree, processes.Options{Servers: specs(group{"registry", n, "mid", nil})})
 	if err != nil {
 		return nil, err
 	}
--- a/standin/measure/fleet.go
+++ b/standin/measure/fleet.go
@@ -41,15 +41,13 @@
 	return list
 }
 
-// startFleet starts a fleet and waits until it is ready.
-func startFleet(ctx context.Context, opts Options, tree string, proxies bool, servers []processes.ServerSpec) (*processes.Fleet, error) {
-	fleet, err := processes.Start(processes.Options{
-		Bin:     opts.Bin,
-		Servers: servers,
-		Tree:    json.RawMessage(tree),
-		Proxies: proxies,
-		Config:  map[string]any{"tracing": map[string]any{"sample_ratio": 0}},
-	})
+// startFleet starts a fleet with a settings tree, and waits until it is ready.
+func startFleet(ctx context.Context, opts Options, tree string, fleetOpts processes.Options) (*processes.Fleet, error) {
+	fleetOpts.Bin = opts.Bin
+	fleetOpts.Logs = opts.Logs
+	fleetOpts.Tree = json.RawMessage(tree)
+	fleetOpts.Config = map[string]any{"tracing": map[string]any{"sample_ratio": 0}}
+	fleet, err := processes.Start(fleetOpts)
 	if err != nil {
 		return nil, err
 	}
--- a/standin/measure/recovery.go
+++ b/standin/measure/recovery.go
@@ -34,6 +34,8 @@
 	victim *processes.Server
 	// entries are the daemons that the callers use.
 	entries *processes.Entries
+	// delay is the callers' to their entries.
+	delay time.Duration
 }
 
 // recoveryFaults are the things that happen.
@@ -174,7 +176,7 @@
 // tryFault runs a trial.
 func tryFault(ctx context.Context, opts Options, fault func(*trial) error, round int) (tried, error) {
 	r := tried{tally: load.NewTally(), gaps: load.NewGaps()}
-	fleet, err := startFleet(ctx, opts, recoveryTree, true, specs(group{"registry", 7, "mid", []string{"-check_grants"}}))
+	fleet, err := startFleet(ctx, opts, recoveryTree, processes.Options{Servers: specs(group{"registry", 7, "mid", []string{"-check_grants"}}), Proxies: true})
 	if err != nil {
 		return r, err
 	}
--- a/standin/measure/report.go
+++ b/standin/measure/report.go
@@ -35,6 +35,8 @@
 	Match string
 	// Rounds is how often each measurement is repeated.
 	Rounds int
+	// Logs receives the log lines of all daemons; nil discards them.
+	Logs io.Writer
 }
 
 // Table is the result of a section.
--- a/standin/measure/scenarios.go
+++ b/standin/measure/scenarios.go
@@ -4,12 +4,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net/http"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"time"
 
-	"siskinknot/core/request"
+	"siskinknot/io/boottime"
 	"siskinknot/standin/load"
 	"siskinknot/standin/processes"
 	"siskinknot/standin/targetserver"
@@ -23,217 +23,216 @@
 		"retry_budget_percent": 100, "queue_length": 8192, "bulk_share_percent": 100, "shared_choice": "round_robin"}`
 )
 
-// Parameters of the scenarios.
-const (
-	phaseTime  = 5 * time.Second
-	mostUnder  = 6000
-	uploadSize = 512 << 10
-)
-
-// stream is a part of the load with a rate of its own.
-type stream struct {
-	name   string
-	caller string
-	class  request.Class
-	rate   float64
-	method string
-	// path returns the path of request number i.
-	path     func(i int) string
-	body     []byte
-	deadline time.Duration
-}
-
-// scenario is a situation with load in two phases: before something happens and
-// while it lasts.
-type scenario struct {
-	name string
-	// args are the arguments of the targets.
-	args    []string
-	always  []stream
-	during  []stream
-	trouble func(*processes.Fleet) error
-}
-
-// keys returns a path function that cycles through n keys.
-func keys(service, prefix string, n int) func(int) string {
-	return func(i int) string { return fmt.Sprintf("/%s/%s-%d", service, prefix, i*7919%n) }
-}
-
-// lookups returns a stream of lookups.
-func lookups(name, caller string, rate float64, path func(int) string) stream {
-	return stream{name: name, caller: caller, class: request.Lookup, rate: rate, method: http.MethodGet, path: path, deadline: 2 * time.Second}
-}
-
-// scenarioList returns the scenarios.
-func scenarioList() []scenario {
-	fast := []string{"-lookup", "10ms", "-write", "20ms", "-chunk", "40ms"}
-	slow := []string{"-lookup", "40ms", "-write", "40ms"}
-	writes := stream{
-		name: "registrations", caller: "breeder", class: request.Write, rate: 60, method: http.MethodPost,
-		path: keys("registry", "new", 1<<30), body: []byte("mine"), deadline: 2 * time.Second,
-	}
-	checks := stream{
-		name: "internal checks", caller: "registry", class: request.Internal, rate: 100, method: http.MethodGet,
-		path: keys("archive", "check", 1000), deadline: 2 * time.Second,
-	}
-	uploads := stream{
-		name: "uploads", caller: "photographer", class: request.Bulk, rate: 150, method: http.MethodPut,
-		path: keys("archive", "photo", 1<<30), body: targetserver.Pattern("photo", uploadSize), deadline: 20 * time.Second,
-	}
-	others := lookups("nine other callers", "", 540, keys("registry", "rosa", 500))
-	flood := lookups("flooding caller", "flood", 4000, keys("registry", "rosa", 500))
-	return []scenario{
-		{
-			name: "catalogue goes live", args: fast,
-			always: []stream{lookups("lookups", "nursery", 400, keys("registry", "rosa", 500)), writes},
-			during: []stream{lookups("catalogue", "fair", 4000, keys("registry", "spring", 5))},
-		},
-		{
-			name: "upload storm", args: fast,
-			always: []stream{lookups("lookups", "nursery", 100, keys("archive", "page", 1000)), checks},
-			during: []stream{uploads},
-		},
-		{name: "one caller floods", args: slow, always: []stream{others}, during: []stream{flood}},
-		{
-			name: "a target slows tenfold, reports health", args: fast,
-			always: []stream{
-				lookups("lookups", "nursery", 400, keys("archive", "page", 1000)),
-				lookups("registry lookups", "nursery", 400, keys("registry", "rosa", 500)),
-			},
-			trouble: func(f *processes.Fleet) error { return trouble(f, targetserver.Faults{Slow: 10, Lie: true}) },
-		},
-		{
-			name: "a target sheds", args: fast,
-			always:  []stream{lookups("lookups", "nursery", 400, keys("archive", "page", 1000))},
-			trouble: func(f *processes.Fleet) error { return trouble(f, targetserver.Faults{Shed: true}) },
-		},
-		{
-			name: "three times the capacity", args: slow,
-			always: []stream{lookups("lookups", "nursery", 1900, keys("registry", "rosa", 500))},
-			during: []stream{lookups("excess", "nursery", 4400, keys("registry", "rosa", 500))},
-		},
-	}
-}
+// mostUnder bounds the requests of a stream that are under way.
+const mostUnder = 6000
 
-// trouble sets the faults of one archive and one registry target.
-func trouble(f *processes.Fleet, faults targetserver.Faults) error {
-	if err := f.Servers[0].SetFaults(faults); err != nil {
-		return err
-	}
-	return f.Servers[7].SetFaults(faults)
-}
+// scenarioTable is the name of the table of scenarios.
+const scenarioTable = "Load scenarios"
 
-// scenarios runs every scenario with the policy on and off.
+// scenarios runs every scenario for each deployment, with the policy off and on.
 func scenarios(ctx context.Context, opts Options) ([]Table, error) {
 	table := Table{
-		Name: "Load scenarios",
-		Note: fmt.Sprintf("7 registry and 3 archive servers with 12 slots and 110 connections; open loop, %v before and %v during; "+
-			"latency in ms counts from when a request was due; the baseline is the same with all policies off", phaseTime, phaseTime),
+		Name: scenarioTable,
+		Note: fmt.Sprintf("open loop, %v before and %v during, unless the scenario takes longer; latency in ms counts from when a request was due, "+
+			"and includes the way to the entry and back; answers a second are those that came within the phase, the end is its last third; "+
+			"imbalance is the busiest server's target time over the mean of its service; moved counts units that changed owner; unavailable is the longest time from a request for a key that was "+
+			"not answered, or that waited, to the answer, in ms; all in the second phase, doubled in both; "+
+			"the baseline is the same with all policies off", phaseTime, phaseTime),
 		Columns: []string{
-			"scenario", "policy", "load", "offered/s", "answered/s before", "p99 before", "answered/s",
-			"p50", "p99", "p99.9", "refused", "unknown", "doubled",
+			"deployment", "scenario", "policy", "load", "offered/s", "answered/s before", "p99 before", "answered/s",
+			"p50", "p99", "p99.9", "p99 at the end", "refused", "unknown", "doubled", "imbalance", "moved", "unavailable",
 		},
 	}
-	for _, sc := range scenarioList() {
-		if !strings.Contains(sc.name, opts.Match) {
-			continue
-		}
-		for _, policy := range []struct{ name, values string }{{"off", policyOff}, {"on", policyOn}} {
-			rows, err := runScenario(ctx, opts, sc, policy.name, policy.values)
-			if err != nil {
-				return []Table{table}, fmt.Errorf("%s, policy %s: %w", sc.name, policy.name, err)
+	for _, d := range deployments {
+		for _, sc := range scenarioList(d) {
+			if !strings.Contains(sc.name, opts.Match) {
+				continue
+			}
+			for _, policy := range []struct{ name, values string }{{"off", policyOff}, {"on", policyOn}} {
+				rows, err := runScenario(ctx, opts, d, sc, policy.values)
+				if err != nil {
+					return []Table{table}, fmt.Errorf("%s, %s, policy %s: %w", d.name, sc.name, policy.name, err)
+				}
+				for _, row := range rows {
+					table.Rows = append(table.Rows, append([]string{d.name, sc.name, policy.name}, row...))
+				}
 			}
-			table.Rows = append(table.Rows, rows...)
 		}
 	}
 	return []Table{table}, nil
 }
 
-// scenarioTree returns the settings tree of a scenario.
-func scenarioTree(values string) (string, error) {
-	var firm map[string]any
-	if err := json.Unmarshal([]byte(values), &firm); err != nil {
+// scenarioTree returns the settings tree of a deployment under a policy.
+func scenarioTree(d deployment, policy string) (string, error) {
+	values := map[string]any{"target_slots": d.slots, "target_connections": d.connections}
+	if err := json.Unmarshal([]byte(policy), &values); err != nil {
 		return "", err
 	}
 	tree, err := json.Marshal(map[string]any{
-		"values": firm,
+		"values": values,
 		"services": map[string]any{
-			"registry": map[string]any{"kind": "divided", "slots": 256},
-			"archive":  map[string]any{"kind": "shared"},
+			d.divided.service: map[string]any{"kind": "divided", "slots": 256},
+			d.shared.service:  map[string]any{"kind": "shared"},
 		},
 	})
 	return string(tree), err
 }
 
 // runScenario runs one scenario and returns a row for each stream.
-func runScenario(ctx context.Context, opts Options, sc scenario, policy, values string) ([][]string, error) {
-	tree, err := scenarioTree(values)
+func runScenario(ctx context.Context, opts Options, d deployment, sc scenario, policy string) ([][]string, error) {
+	tree, err := scenarioTree(d, policy)
 	if err != nil {
 		return nil, err
 	}
-	fleet, err := startFleet(ctx, opts, tree, false, specs(group{"registry", 7, "mid", sc.args}, group{"archive", 3, "mid", sc.args}))
+	fleet, err := startFleet(ctx, opts, tree, processes.Options{Servers: specs(d.groups(sc.args)...), Proxies: true, ZoneDelay: d.zoneDelay})
 	if err != nil {
 		return nil, err
 	}
 	defer fleet.Close()
-	before := offer(ctx, fleet, sc.always, "before")
+	t := &trial{ctx: ctx, fleet: fleet, victim: fleet.Servers[1], entries: processes.NewEntries(fleet), delay: d.callerDelay}
+	before := t.offerAll(sc.always, 0, sc.phase)
+	churn, err := t.changes()
+	if err != nil {
+		return nil, err
+	}
+	began := boottime.Now()
+	var troubled sync.WaitGroup
+	var failed error
 	if sc.trouble != nil {
-		if err := sc.trouble(fleet); err != nil {
-			return nil, err
-		}
+		troubled.Go(func() { failed = sc.trouble(t) })
 	}
 	streams := append(append([]stream(nil), sc.always...), sc.during...)
-	during := offer(ctx, fleet, streams, "during")
+	during := t.offerAll(streams, 1, sc.phase)
+	ended := boottime.Now()
+	troubled.Wait()
+	if failed != nil {
+		return nil, failed
+	}
+	for _, s := range t.entries.Used() {
+		if !s.Daemon.Running() {
+			return nil, fmt.Errorf("the daemon of %s has ended", s.Spec.Name)
+		}
+	}
+	after, err := t.changes()
+	if err != nil {
+		return nil, err
+	}
 	runs, err := targetserver.Runs(fleet.Dir)
 	if err != nil {
 		return nil, err
 	}
-	audit := targetserver.Inspect(runs)
-	var rows [][]string
+	doubled := targetserver.Inspect(runs).Doubled
+	rows := make([][]string, 0, len(streams))
 	for i, s := range streams {
 		answeredBefore, p99Before := "-", "-"
 		if i < len(before) {
-			answeredBefore = fmt.Sprintf("%.0f", float64(before[i].Count(load.Answered))/phaseTime.Seconds())
-			p99Before = ms(before[i].Quantile(99))
+			answeredBefore, p99Before = before[i].goodput(sc.phase), ms(before[i].tally.Quantile(99))
 		}
-		t := during[i]
+		o := during[i]
 		rows = append(rows, []string{
-			sc.name, policy, s.name, fmt.Sprintf("%.0f", s.rate), answeredBefore, p99Before,
-			fmt.Sprintf("%.0f", float64(t.Count(load.Answered))/phaseTime.Seconds()),
-			ms(t.Quantile(50)), ms(t.Quantile(99)), ms(t.Quantile(99.9)),
-			fmt.Sprint(t.Count(load.NotRun)), fmt.Sprint(t.Count(load.Unknown)), fmt.Sprint(audit.Doubled),
+			s.name, fmt.Sprintf("%.0f", s.rate), answeredBefore, p99Before, o.goodput(sc.phase),
+			ms(o.tally.Quantile(50)), ms(o.tally.Quantile(99)), ms(o.tally.Quantile(99.9)), ms(o.late.Quantile(99)),
+			fmt.Sprint(o.tally.Count(load.NotRun)), fmt.Sprint(o.tally.Count(load.Unknown)), fmt.Sprint(doubled),
+			fmt.Sprintf("%.2f", imbalance(fleet, s.service, runs, began, ended)),
+			fmt.Sprint(after[s.service] - churn[s.service]), ms(o.gaps.Longest()),
 		})
 	}
 	return rows, nil
 }
 
-// callersOf returns the callers of a stream: one, or nine if it names none.
-func callersOf(s stream) []*load.Caller {
-	if s.caller != "" {
-		return []*load.Caller{load.NewCaller(s.caller)}
+// changes returns how often units of each service have changed owner.
+func (t *trial) changes() (map[string]int, error) {
+	st, err := t.entries.Pick(rand.IntN).Operator.Status(t.ctx)
+	if err != nil {
+		return nil, err
 	}
-	callers := make([]*load.Caller, 9)
-	for i := range callers {
-		callers[i] = load.NewCaller(fmt.Sprint("caller-", i))
+	changes := map[string]int{}
+	for _, svc := range st.Services {
+		changes[svc.Name] = svc.Changes
 	}
-	return callers
+	return changes, nil
+}
+
+// offered is what became of a stream.
+type offered struct {
+	// late counts the requests of the last third of the phase, tally all.
+	tally, late *load.Tally
+	gaps        *load.Gaps
+	// inTime is the number of answers that came within the phase.
+	inTime int
 }
 
-// offer offers streams for a phase and returns a Tally for each.
-func offer(ctx context.Context, fleet *processes.Fleet, streams []stream, phase string) []*load.Tally {
-	tallies := make([]*load.Tally, len(streams))
+// goodput returns the answers a second that came within a phase.
+func (o *offered) goodput(phase time.Duration) string {
+	return fmt.Sprintf("%.0f", float64(o.inTime)/phase.Seconds())
+}
+
+// offerAll offers streams for a phase, which has a number and a length.
+func (t *trial) offerAll(streams []stream, phase int, length time.Duration) []*offered {
+	results := make([]*offered, len(streams))
 	var wg sync.WaitGroup
 	for n, s := range streams {
-		tallies[n] = load.NewTally()
-		callers := callersOf(s)
-		g := load.Generator{Rate: s.rate, Most: mostUnder, Tally: tallies[n], Send: func(ctx context.Context, i int) load.Result {
-			return callers[i%len(callers)].Do(ctx, load.Request{
-				Method: s.method, URL: fleet.Servers[i%len(fleet.Servers)].URL(s.path(i)),
-				ID: fmt.Sprintf("%s-%s-%d", phase, s.name, i), Class: s.class, Deadline: s.deadline, Body: s.body,
+		o := &offered{tally: load.NewTally(), late: load.NewTally(), gaps: load.NewGaps()}
+		results[n] = o
+		path := s.keys(phase)
+		callers := callersOf(s, t.delay)
+		g := load.Generator{Rate: s.rate, Most: mostUnder, Tally: o.tally, Late: o.late, Send: func(ctx context.Context, i int) load.Result {
+			key := path(i)
+			sent := time.Now()
+			res := callers[i%len(callers)].Do(ctx, load.Request{
+				Method: s.method, URL: t.entries.Pick(rand.IntN).URL("/" + s.service + "/" + key),
+				ID: fmt.Sprintf("%d-%s-%d", phase, s.name, i), Class: s.class, Deadline: s.deadline, Body: s.body,
 			})
+			o.gaps.Add(key, sent, time.Now(), res.End == load.Answered)
+			return res
 		}}
-		wg.Go(func() { g.Run(ctx, phaseTime) })
+		wg.Go(func() {
+			o.inTime = g.Run(t.ctx, length)
+			for _, c := range callers {
+				c.Close()
+			}
+		})
 	}
 	wg.Wait()
-	return tallies
+	return results
+}
+
+// manyCallers are the callers of a stream that names none.
+var manyCallers = strings.Fields("one two three four five six seven eight nine")
+
+// callersOf returns the callers of a stream, at a delay from their entries.
+func callersOf(s stream, delay time.Duration) []*load.Caller {
+	callerNames := []string{s.caller}
+	if s.caller == "" {
+		callerNames = manyCallers
+	}
+	callers := make([]*load.Caller, 0, len(callerNames))
+	for _, name := range callerNames {
+		c := load.NewCaller(name)
+		c.Delay = delay
+		callers = append(callers, c)
+	}
+	return callers
+}
+
+// imbalance returns the target time of the busiest server of a service over
+// their mean, for the runs that began in a span of time.
+func imbalance(fleet *processes.Fleet, service string, runs []targetserver.Run, from, to time.Time) float64 {
+	busy := map[string]time.Duration{}
+	for _, s := range fleet.Servers {
+		if s.Spec.Service == service {
+			busy[s.Spec.Name] = 0
+		}
+	}
+	for _, run := range runs {
+		if _, ok := busy[run.Server]; ok && !run.Begin.Before(from) && run.Begin.Before(to) && !run.End.IsZero() {
+			busy[run.Server] += run.End.Sub(run.Begin)
+		}
+	}
+	total, most := time.Duration(0), time.Duration(0)
+	for _, d := range busy {
+		total += d
+		most = max(most, d)
+	}
+	return most.Seconds() / max(total.Seconds()/float64(len(busy)), 1e-9)
 }
--- a/standin/measure/speed.go
+++ b/standin/measure/speed.go
@@ -34,7 +34,7 @@
 	ways := []string{"straight to the target", "entry is the owner", "entry and owner differ"}
 	p50, p99, p999 := make([][]float64, 3), make([][]float64, 3), make([][]float64, 3)
 	for range opts.Rounds {
-		fleet, err := startFleet(ctx, opts, fmt.Sprintf(speedTree, 12), false, specs(group{"registry", 3, "mid", nil}))
+		fleet, err := startFleet(ctx, opts, fmt.Sprintf(speedTree, 12), processes.Options{Servers: specs(group{"registry", 3, "mid", nil})})
 		if err != nil {
 			return []Table{table}, err
 		}
@@ -124,7 +124,7 @@
 	var rate, entryUs, ownerUs, entryAllocs, ownerAllocs, idle []float64
 	for range opts.Rounds {
 		args := []string{"-lookup", "0", "-connect", "0", "-slots", "64"}
-		fleet, err := startFleet(ctx, opts, fmt.Sprintf(speedTree, 64), false, specs(group{"registry", 3, "mid", args}))
+		fleet, err := startFleet(ctx, opts, fmt.Sprintf(speedTree, 64), processes.Options{Servers: specs(group{"registry", 3, "mid", args})})
 		if err != nil {
 			return []Table{table}, err
 		}
--- a/standin/processes/entries.go
+++ b/standin/processes/entries.go
@@ -40,6 +40,12 @@
 	return slices.Clone(e.avoided)
 }
 
+// Used returns the servers whose daemons callers use.
+func (e *Entries) Used() []*Server {
+	avoided := e.Avoided()
+	return slices.DeleteFunc(slices.Clone(e.servers), func(s *Server) bool { return slices.Contains(avoided, s) })
+}
+
 // Pick returns a daemon to use; intN returns a random number below its argument.
 func (e *Entries) Pick(intN func(int) int) *Server {
 	for {
--- a/standin/processes/processes.go
+++ b/standin/processes/processes.go
@@ -62,6 +62,9 @@
 	Tree json.RawMessage
 	// Proxies puts a fault proxy before each daemon and before the log.
 	Proxies bool
+	// ZoneDelay is how long data takes one way between daemons of different
+	// availability zones, and between a daemon and the log; it needs Proxies.
+	ZoneDelay time.Duration
 	// Config are further fields of each daemon's configuration.
 	Config map[string]any
 	// Logs receives the daemons' log lines; nil discards them.
@@ -145,6 +148,11 @@
 			return err
 		}
 	}
+	if f.opts.ZoneDelay > 0 {
+		for _, s := range f.Servers {
+			f.Heal(s) // sets the rules with their delays
+		}
+	}
 	if f.opts.Tree == nil {
 		return nil
 	}
@@ -305,16 +313,26 @@
 // the actions say: from it, and to it.
 func (f *Fleet) Cut(s *Server, from, to faultproxy.Action) {
 	for _, other := range f.Servers {
-		if other != s {
-			other.Proxy.SetRule(s.IP, faultproxy.Rule{ToBackend: from, FromBackend: to})
+		if other == s {
+			continue
 		}
+		delay := f.delay(s, other)
+		other.Proxy.SetRule(s.IP, faultproxy.Rule{ToBackend: from, FromBackend: to, Delay: delay})
+		s.Proxy.SetRule(other.IP, faultproxy.Rule{ToBackend: to, FromBackend: from, Delay: delay})
 	}
-	s.Proxy.SetRule(netip.Addr{}, faultproxy.Rule{ToBackend: to, FromBackend: from})
+}
+
+// delay returns the delay between the daemons of two servers.
+func (f *Fleet) delay(a, b *Server) time.Duration {
+	if a.Spec.Zone == b.Spec.Zone {
+		return 0
+	}
+	return f.opts.ZoneDelay
 }
 
 // CutLog makes the connections of s to the log behave as action says.
 func (f *Fleet) CutLog(s *Server, action faultproxy.Action) {
-	f.LogProxy.SetRule(s.IP, faultproxy.Rule{ToBackend: action, FromBackend: action})
+	f.LogProxy.SetRule(s.IP, faultproxy.Rule{ToBackend: action, FromBackend: action, Delay: f.opts.ZoneDelay})
 }
 
 // Heal ends what Cut and CutLog did to s.
@@ -399,7 +417,10 @@
 	readers.Go(func() { p.scan(stderr, f.opts.Logs) })
 	go func() {
 		readers.Wait()
-		_ = cmd.Wait()
+		err := cmd.Wait()
+		if f.opts.Logs != nil {
+			fmt.Fprintf(f.opts.Logs, "%s %s ended: %v\n", program, strings.Join(args, " "), err)
+		}
 		close(p.done)
 	}()
 	return p, nil
