Choose between two different targets, and believe old latencies less

Cause: the two candidates for a request to a shared service were drawn with replacement, so that with three targets one in nine requests had no choice: the slow one, whatever was known of it. And a target that was avoided was never found to be quick again.

Ruled out: the view of the target. Its average latency was ten times that of the others from its first answers on.

Change: the candidates differ; a latency counts half for each 6 s in which no answer confirmed it, so that a slow target is tried again now and then, and an answer after such a time replaces it.

--- a/core/balance/choice.go
+++ b/core/balance/choice.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -20,12 +21,12 @@
 // says of itself.
 type view struct {
 	inFlight int
-	// latency is an average over recent answers.
-	latency time.Duration
+	// latency is an average over recent answers, the last of them at answeredAt.
+	latency    time.Duration
+	answeredAt time.Time
 	// failures counts failures since the last answer.
-	failures  int
-	failedAt  time.Time
-	everTried bool
+	failures int
+	failedAt time.Time
 }
 
 // Chooser chooses targets of one shared service. It is safe for concurrent use.
@@ -60,15 +61,23 @@
 	case Random:
 		return candidates[rand.N(len(candidates))]
 	default:
-		a := candidates[rand.N(len(candidates))]
-		b := candidates[rand.N(len(candidates))]
-		if c.cost(now, b) < c.cost(now, a) {
-			return b
-		}
-		return a
+		return c.cheaper(now, candidates)
 	}
 }
 
+// cheaper returns the cheaper of two different candidates.
+func (c *Chooser) cheaper(now time.Time, candidates []record.Incarnation) record.Incarnation {
+	if len(candidates) == 1 {
+		return candidates[0]
+	}
+	i := rand.N(len(candidates))
+	j := (i + 1 + rand.N(len(candidates)-1)) % len(candidates)
+	if c.cost(now, candidates[j]) < c.cost(now, candidates[i]) {
+		return candidates[j]
+	}
+	return candidates[i]
+}
+
 // cost is the time that a new request is expected to take.
 func (c *Chooser) cost(now time.Time, id record.Incarnation) float64 {
 	const (
@@ -76,16 +85,38 @@
 		failurePeriod = 2 * time.Second
 	)
 	v := c.view(id)
-	cost := float64(v.inFlight+1) * max(v.latency, leastLatency).Seconds()
+	cost := float64(v.inFlight+1) * max(v.expected(now), leastLatency).Seconds()
 	if v.failures > 0 && now.Sub(v.failedAt) < failurePeriod {
 		cost *= float64(1 + 10*v.failures)
 	}
 	return cost
 }
 
+// halfLife is the time in which a latency that nothing confirms is believed half
+// as much: a target that was slow is tried again once others seem no quicker.
+const halfLife = 6 * time.Second
+
+// expected returns the latency to expect.
+func (v *view) expected(now time.Time) time.Duration {
+	age := now.Sub(v.answeredAt)
+	if age <= 0 {
+		return v.latency
+	}
+	return time.Duration(float64(v.latency) * math.Exp2(-age.Seconds()/halfLife.Seconds()))
+}
+
+// answered notes an answer. One that comes after a long time says all there is.
+func (v *view) answered(now time.Time, took time.Duration) {
+	weight := 1.0 / 8
+	if now.Sub(v.answeredAt) > halfLife {
+		weight = 1
+	}
+	v.latency += time.Duration(float64(took-v.latency) * weight)
+	v.answeredAt = now
+}
+
 // Done notes how a picked request ended.
 func (c *Chooser) Done(now time.Time, id record.Incarnation, took time.Duration, ok bool) {
-	const smoothing = 8
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	v := c.view(id)
@@ -96,11 +127,7 @@
 		return
 	}
 	v.failures = 0
-	if !v.everTried {
-		v.latency = took
-		v.everTried = true
-	}
-	v.latency += (took - v.latency) / smoothing
+	v.answered(now, took)
 }
 
 // view returns the view of id.
