--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -11,6 +11,10 @@
 // Units that nobody uses count for a little, so that servers which join an idle
 // service receive a fair share of it.
 //
+// Even target time is not enough where a target is slow: it would keep a few
+// units, whose callers wait. SlowServers finds such servers by what their daemons
+// see, and Plan relieves them of all units.
+//
 // # Usage
 //
 //	moves := balance.Plan(servers, units, balance.Policy{Threshold: 0.15, MaxMoves: 8, HotKeyShare: 0.15})
@@ -39,8 +43,15 @@
 	Slots int
 	// Cold servers receive at most one unit in each plan.
 	Cold bool
+	// Slowness is how much longer the server's requests take than those of the
+	// others, if it is slow; 0 or 1 if it is not. A slow server receives nothing
+	// and is relieved of all its units.
+	Slowness float64
 }
 
+// slow reports whether the server is to be relieved of its units.
+func (s *Server) slow() bool { return s.Slowness > 1 }
+
 // Unit is a unit with its load.
 type Unit struct {
 	record.Unit
@@ -64,7 +75,8 @@
 	// Threshold is the least share by which the most loaded server has to
 	// exceed the mean before anything moves.
 	Threshold float64
-	MaxMoves  int
+	// MaxMoves bounds the moves of a plan but those that relieve a slow server.
+	MaxMoves int
 	// HotKeyShare is the share of the mean load of a server from which on a key
 	// is carved out; 0 never carves.
 	HotKeyShare float64
@@ -76,6 +88,7 @@
 	if len(p.servers) < 2 {
 		return nil
 	}
+	relief := p.relieve()
 	moves := p.mergeCool(policy)
 	for len(moves) < policy.MaxMoves {
 		move, ok := p.best(policy)
@@ -84,7 +97,7 @@
 		}
 		moves = append(moves, move)
 	}
-	return moves
+	return append(relief, moves...)
 }
 
 // Imbalance returns the largest load of a server over the mean, each for its
@@ -99,6 +112,7 @@
 
 // plan is the state of the servers while moves are chosen.
 type plan struct {
+	// servers are those that are not slow, byID all.
 	servers []*load
 	byID    map[record.Incarnation]*load
 	units   []*Unit
@@ -119,8 +133,11 @@
 	capacity := 0
 	for _, s := range servers {
 		l := &load{Server: s}
-		p.servers = append(p.servers, l)
 		p.byID[s.ID] = l
+		if l.slow() {
+			continue
+		}
+		p.servers = append(p.servers, l)
 		capacity += s.Slots
 	}
 	slots := 0
@@ -135,7 +152,12 @@
 			u.Busy += idle
 		}
 		p.units = append(p.units, &u)
-		if owner := p.byID[u.Owner]; owner != nil && !u.Hot {
+		owner := p.byID[u.Owner]
+		if owner != nil && owner.slow() {
+			// Elsewhere it takes less.
+			u.Busy = time.Duration(float64(u.Busy) / owner.Slowness)
+		}
+		if owner != nil && !u.Hot {
 			owner.busy += u.Busy.Seconds()
 		}
 	}
@@ -176,6 +198,26 @@
 	return idlest
 }
 
+// relieve returns moves of all units of slow servers for which others have room,
+// the busiest first, and carries them out in p. It is like a planned leave: the
+// bound on moves does not concern it.
+func (p *plan) relieve() []Move {
+	const full = 0.8 // of the slots of the server that receives a unit
+	var moves []Move
+	for _, u := range p.units {
+		owner := p.byID[u.Owner]
+		if owner == nil || !owner.slow() || !u.Rested || u.Hot {
+			continue
+		}
+		to := p.idlest()
+		if to == nil || to.busy+u.Busy.Seconds() > full*float64(to.Slots) {
+			break
+		}
+		moves = append(moves, p.move(u, to))
+	}
+	return moves
+}
+
 // best returns the move that helps most, and carries it out in p.
 func (p *plan) best(policy Policy) (Move, bool) {
 	from, to := p.busiest(), p.idlest()
@@ -258,7 +300,7 @@
 	var moves []Move
 	for _, u := range p.units {
 		to := p.byID[slotOwner[u.Slot]]
-		if u.Key == "" || u.Hot || !u.Rested || to == nil || to.ID == u.Owner {
+		if u.Key == "" || u.Hot || !u.Rested || to == nil || to.slow() || to.ID == u.Owner {
 			continue
 		}
 		if u.Busy.Seconds() < limit*float64(to.Slots) && len(moves) < policy.MaxMoves {
--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -69,6 +69,22 @@
 		{"a server that joins gets slots", func(s *[]Server, _ *[]Unit) {
 			*s = append(*s, Server{ID: "new", Slots: 10})
 		}, policy, "slot 0 to new"},
+		{"a slow server is relieved of its busiest slot", func(s *[]Server, u *[]Unit) {
+			(*s)[2].Slowness = 10
+			(*u)[5].Busy, (*u)[3].Busy = time.Second, 50*time.Millisecond
+		}, policy, "slot 5 to s1"},
+		{"not if the others have no room", func(s *[]Server, u *[]Unit) {
+			(*s)[2].Slowness = 10
+			(*u)[0].Busy, (*u)[1].Busy, (*u)[5].Busy = 8*time.Second, 8*time.Second, time.Second
+			(*u)[0].Rested, (*u)[1].Rested = false, false
+		}, policy, ""},
+		{"a slow server receives nothing", func(s *[]Server, u *[]Unit) {
+			(*s)[1].Slowness, (*s)[2].Slowness = 10, 10
+			for i := range *u {
+				(*u)[i].Owner = "s0"
+			}
+			(*u)[0].Busy = 9 * time.Second
+		}, policy, ""},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/core/settings/settings_test.go
+++ b/core/settings/settings_test.go
@@ -69,6 +69,7 @@
 		{"an unknown value", "/registry", `{"values": {"nonsense": 1}}`, 11, "additional properties 'nonsense' not allowed"},
 		{"a wrong type", "/registry", `{"values": {"queue_length": "7"}}`, 11, `/services/registry/values/queue_length: "7": got string, want integer`},
 		{"out of range", "/", `{"values": {"target_slots": 0}}`, 11, "/values/target_slots: 0: minimum: got 0, want 1"},
+		{"a limit that all servers exceed", "/", `{"values": {"slow_server_percent": 50}}`, 11, "/values/slow_server_percent: 50: minimum: got 50, want 150"},
 		{"no choice", "/", `{"values": {"balance_policy": "best"}}`, 11, "/values/balance_policy"},
 		{"another kind", "/registry", `{"kind": "shared", "slots": null}`, 11, "the kind of a service is fixed"},
 		{"other slots", "/registry", `{"slots": 32}`, 11, "the number of slots is fixed, want 16"},
--- a/core/settings/values.go
+++ b/core/settings/values.go
@@ -28,6 +28,7 @@
 	BalanceThresholdPercent int    `json:"balance_threshold_percent"`
 	BalanceMaxMoves         int    `json:"balance_max_moves"`
 	HotKeyPercent           int    `json:"hot_key_percent"`
+	SlowServerPercent       int    `json:"slow_server_percent"`
 	SharedChoice            string `json:"shared_choice"`
 }
 
@@ -53,6 +54,7 @@
 	BalanceThresholdPercent: 15,
 	BalanceMaxMoves:         8,
 	HotKeyPercent:           15,
+	SlowServerPercent:       400,
 	SharedChoice:            "two_choices",
 }
 
--- a/io/member/member.go
+++ b/io/member/member.go
@@ -40,7 +40,6 @@
 
 	"siskinknot/core/dedup"
 	"siskinknot/core/fleet"
-	"siskinknot/core/hotkeys"
 	"siskinknot/core/lease"
 	"siskinknot/core/outcome"
 	"siskinknot/core/record"
@@ -153,7 +152,7 @@
 		works:    map[*Work]struct{}{},
 		attempts: map[record.Incarnation]attempt{},
 		duties:   map[string]time.Time{},
-		load:     loads{keys: hotkeys.New(trackedKeys), busy: map[int]time.Duration{}},
+		load:     newLoads(),
 		planning: newPlanning(),
 	}
 	m.book = lease.New(m.me, m.state, now)
--- a/io/member/metrics.go
+++ b/io/member/metrics.go
@@ -25,6 +25,7 @@
 	rejoins       tally.Counter
 	snapshots     tally.Counter
 	moves         tally.Counter
+	slowServers   tally.Counter
 	holds         tally.Gauge
 	next          tally.Gauge
 	units         tally.Gauge
@@ -54,6 +55,7 @@
 		rejoins:       s.Counter("rejoins"),
 		snapshots:     s.Counter("snapshots_sent"),
 		moves:         s.Counter("moves_planned"),
+		slowServers:   s.Counter("slow_targets_found"),
 		holds:         s.Gauge("lease_held"),
 		next:          s.Gauge("log_next_offset"),
 		units:         s.Gauge("units_owned"),
--- a/io/member/plan.go
+++ b/io/member/plan.go
@@ -26,6 +26,7 @@
 	// missedSince is when a member that never reported was first looked for, or
 	// was last accused.
 	missedSince map[record.Incarnation]time.Time
+	slow        balance.SlowServers
 }
 
 // timedReport is a report with the time of its arrival.
@@ -54,7 +55,11 @@
 	if svc == nil || svc.Planner != me {
 		return false
 	}
-	p.reports[record.Incarnation(msg.From)] = timedReport{at: now, msg: msg}
+	from := record.Incarnation(msg.From)
+	p.reports[from] = timedReport{at: now, msg: msg}
+	if msg.QuickUs > 0 && !msg.Cold {
+		p.slow.Observe(now, from, time.Duration(msg.QuickUs)*time.Microsecond)
+	}
 	return true
 }
 
@@ -154,7 +159,9 @@
 		return nil, 0
 	}
 	interval := m.intervalLocked()
-	servers := m.planServers(now, interval)
+	takers := m.state.Takers(m.cfg.Service, "")
+	m.findSlow(now, takers, values)
+	servers := m.planServers(now, takers, interval)
 	units := m.planUnits(svc)
 	policy := balance.Policy{
 		Threshold: float64(values.BalanceThresholdPercent) / 100,
@@ -171,16 +178,30 @@
 	return moves, svc.Term
 }
 
-// planServers returns the members that take part in the balance. The caller
-// holds the mutex.
-func (m *Member) planServers(now time.Time, interval time.Duration) []balance.Server {
+// findSlow looks for servers whose targets are slow. The caller holds the mutex.
+func (m *Member) findSlow(now time.Time, takers []record.Incarnation, values *settings.Values) {
+	found := m.planning.slow.Find(now, takers, float64(values.SlowServerPercent)/100)
+	for _, id := range found {
+		m.metrics.slowServers.Inc(1)
+		m.logger.Warn("found a slow target", "incarnation", id, "factor", m.planning.slow.Factor(now, id))
+	}
+}
+
+// planServers returns the takers that take part in the balance. The caller holds
+// the mutex.
+func (m *Member) planServers(now time.Time, takers []record.Incarnation, interval time.Duration) []balance.Server {
 	var servers []balance.Server
-	for _, id := range m.state.Takers(m.cfg.Service, "") {
+	for _, id := range takers {
 		r, ok := m.planning.reports[id]
 		if !ok || now.Sub(r.at) > reportLife*interval {
 			continue
 		}
-		servers = append(servers, balance.Server{ID: id, Slots: int(r.msg.TargetSlots), Cold: r.msg.Cold})
+		servers = append(servers, balance.Server{
+			ID:       id,
+			Slots:    int(r.msg.TargetSlots),
+			Cold:     r.msg.Cold || m.planning.slow.OnProbation(now, id),
+			Slowness: m.planning.slow.Factor(now, id),
+		})
 	}
 	return servers
 }
--- a/io/member/report.go
+++ b/io/member/report.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"siskinknot/core/fleet"
 	"siskinknot/core/hotkeys"
 	"siskinknot/io/boottime"
@@ -21,6 +23,9 @@
 	// plannerFailures is the number of reports that fail before a daemon takes
 	// the planner for lost.
 	plannerFailures = 3
+	// fewRequests is the number of requests from which on the quickest quarter of
+	// them says something about the target.
+	fewRequests = 20
 )
 
 // loads counts the target time of this daemon's units.
@@ -29,6 +34,14 @@
 	busy  map[int]time.Duration
 	total time.Duration
 	since time.Time
+	// times are how long requests took, in microseconds.
+	times *hdrhistogram.Histogram
+}
+
+// newLoads returns loads that have counted nothing.
+func newLoads() loads {
+	const longest, digits = int64(time.Hour / time.Microsecond), 1
+	return loads{keys: hotkeys.New(trackedKeys), busy: map[int]time.Duration{}, times: hdrhistogram.New(1, longest, digits)}
 }
 
 // add counts a request's target time.
@@ -36,6 +49,18 @@
 	l.busy[slot] += busy
 	l.total += busy
 	l.keys.Add(key, busy)
+	_ = l.times.RecordValue(min(max(busy.Microseconds(), 1), l.times.HighestTrackableValue()))
+}
+
+// quick returns how long the quickest quarter of the requests took at most, in
+// microseconds, and begins anew; 0 while there are too few.
+func (l *loads) quick() uint64 {
+	if l.times.TotalCount() < fewRequests {
+		return 0
+	}
+	quarter := l.times.ValueAtQuantile(25)
+	l.times.Reset()
+	return uint64(quarter)
 }
 
 // report is the task that tells the planner this daemon's load.
@@ -78,6 +103,7 @@
 		TargetSlots: uint32(m.state.Settings().Effective(m.cfg.Service, "").TargetSlots),
 		Cold:        m.target == TargetCold,
 		Units:       m.unitLoads(svc, elapsed),
+		QuickUs:     m.load.quick(),
 	}
 	m.load.busy = map[int]time.Duration{}
 	m.load.total = 0
--- a/standin/measure/scenarios.go
+++ b/standin/measure/scenarios.go
@@ -35,9 +35,9 @@
 		Name: scenarioTable,
 		Note: fmt.Sprintf("open loop, %v before and %v during, unless the scenario takes longer; latency in ms counts from when a request was due, "+
 			"and includes the way to the entry and back; answers a second are those that came within the phase, the end is its last third; "+
-			"imbalance is the busiest server's target time over the mean of its service; moved counts units that changed owner; unavailable is the longest time from a request for a key that was "+
-			"not answered, or that waited, to the answer, in ms; all in the second phase, doubled in both; "+
-			"the baseline is the same with all policies off", phaseTime, phaseTime),
+			"imbalance is the busiest server's target time over the mean of its service; moved counts units that changed owner; "+
+			"unavailable is the longest time from a request for a key that was not answered, or that waited, to the answer, in ms; "+
+			"all in the second phase, doubled in both; the baseline is the same with all policies off", phaseTime, phaseTime),
 		Columns: []string{
 			"deployment", "scenario", "policy", "load", "offered/s", "answered/s before", "p99 before", "answered/s",
 			"p50", "p99", "p99.9", "p99 at the end", "refused", "unknown", "doubled", "imbalance", "moved", "unavailable",
@@ -91,29 +91,18 @@
 	defer fleet.Close()
 	t := &trial{ctx: ctx, fleet: fleet, victim: fleet.Servers[1], entries: processes.NewEntries(fleet), delay: d.callerDelay}
 	before := t.offerAll(sc.always, 0, sc.phase)
-	churn, err := t.changes()
+	churnBefore, err := t.changes()
 	if err != nil {
 		return nil, err
 	}
+	streams := append(append([]stream(nil), sc.always...), sc.during...)
 	began := boottime.Now()
-	var troubled sync.WaitGroup
-	var failed error
-	if sc.trouble != nil {
-		troubled.Go(func() { failed = sc.trouble(t) })
+	during, err := t.offerInTrouble(sc, streams)
+	if err != nil {
+		return nil, err
 	}
-	streams := append(append([]stream(nil), sc.always...), sc.during...)
-	during := t.offerAll(streams, 1, sc.phase)
 	ended := boottime.Now()
-	troubled.Wait()
-	if failed != nil {
-		return nil, failed
-	}
-	for _, s := range t.entries.Used() {
-		if !s.Daemon.Running() {
-			return nil, fmt.Errorf("the daemon of %s has ended", s.Spec.Name)
-		}
-	}
-	after, err := t.changes()
+	churn, err := t.changes()
 	if err != nil {
 		return nil, err
 	}
@@ -128,18 +117,37 @@
 		if i < len(before) {
 			answeredBefore, p99Before = before[i].goodput(sc.phase), ms(before[i].tally.Quantile(99))
 		}
-		o := during[i]
-		rows = append(rows, []string{
-			s.name, fmt.Sprintf("%.0f", s.rate), answeredBefore, p99Before, o.goodput(sc.phase),
-			ms(o.tally.Quantile(50)), ms(o.tally.Quantile(99)), ms(o.tally.Quantile(99.9)), ms(o.late.Quantile(99)),
-			fmt.Sprint(o.tally.Count(load.NotRun)), fmt.Sprint(o.tally.Count(load.Unknown)), fmt.Sprint(doubled),
+		row := append([]string{s.name, fmt.Sprintf("%.0f", s.rate), answeredBefore, p99Before}, during[i].cells(sc.phase)...)
+		rows = append(rows, append(
+			row, fmt.Sprint(doubled),
 			fmt.Sprintf("%.2f", imbalance(fleet, s.service, runs, began, ended)),
-			fmt.Sprint(after[s.service] - churn[s.service]), ms(o.gaps.Longest()),
-		})
+			fmt.Sprint(churn[s.service]-churnBefore[s.service]), ms(during[i].gaps.Longest()),
+		))
 	}
 	return rows, nil
 }
 
+// offerInTrouble offers streams for the second phase of a scenario, while its
+// trouble happens.
+func (t *trial) offerInTrouble(sc scenario, streams []stream) ([]*offered, error) {
+	var troubled sync.WaitGroup
+	var failed error
+	if sc.trouble != nil {
+		troubled.Go(func() { failed = sc.trouble(t) })
+	}
+	during := t.offerAll(streams, 1, sc.phase)
+	troubled.Wait()
+	if failed != nil {
+		return nil, failed
+	}
+	for _, s := range t.entries.Used() {
+		if !s.Daemon.Running() {
+			return nil, fmt.Errorf("the daemon of %s has ended", s.Spec.Name)
+		}
+	}
+	return during, nil
+}
+
 // changes returns how often units of each service have changed owner.
 func (t *trial) changes() (map[string]int, error) {
 	st, err := t.entries.Pick(rand.IntN).Operator.Status(t.ctx)
@@ -167,6 +175,14 @@
 	return fmt.Sprintf("%.0f", float64(o.inTime)/phase.Seconds())
 }
 
+// cells returns the cells of a table about what became of a stream in a phase.
+func (o *offered) cells(phase time.Duration) []string {
+	return []string{
+		o.goodput(phase), ms(o.tally.Quantile(50)), ms(o.tally.Quantile(99)), ms(o.tally.Quantile(99.9)), ms(o.late.Quantile(99)),
+		fmt.Sprint(o.tally.Count(load.NotRun)), fmt.Sprint(o.tally.Count(load.Unknown)),
+	}
+}
+
 // offerAll offers streams for a phase, which has a number and a length.
 func (t *trial) offerAll(streams []stream, phase int, length time.Duration) []*offered {
 	results := make([]*offered, len(streams))
