Do not crash when a reply comes as its call times out

Cause: a daemon ended with a nil dereference in member.ask. Pool.Ask returned neither a reply nor an error if the reply had been read and the context ended before the timer was stopped: the error that it wrapped was nil.

Ruled out: the callers of ask, which handle an error; the other places that wrap errors (each was read: the errors are not nil, or nil means success); forward.Send, which returns a result in any case.

Change: a reply that was read is returned, whatever the context does; the stream is only kept if the timer was stopped.

Crashes of this kind are not a broken invariant; the wrap of an error that may be nil is what to look for in reviews.

--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -165,3 +165,26 @@
 		}
 	})
 }
+
+// TestAskAtItsDeadline checks that a call whose context ends just as the reply
+// comes returns the reply or an error.
+func TestAskAtItsDeadline(t *testing.T) {
+	pool, addr := pair(t)
+	const calls, longest = 4000, 200 * time.Microsecond
+	replies := 0
+	for i := range calls {
+		ctx, cancel := context.WithCancel(context.Background())
+		timer := time.AfterFunc(longest*time.Duration(i)/calls, cancel)
+		reply, err := pool.Ask(ctx, addr, &peerpb.Call{Kind: &peerpb.Call_Move{Move: &peerpb.Move{Term: uint64(i)}}})
+		timer.Stop()
+		cancel()
+		if err != nil {
+			require.Nil(t, reply)
+			continue
+		}
+		require.NotNil(t, reply, "call %d of %d", i, calls)
+		require.Equal(t, uint64(i), reply.NextOffset)
+		replies++
+	}
+	t.Logf("%d of %d calls were answered", replies, calls)
+}
--- a/io/peer/pool.go
+++ b/io/peer/pool.go
@@ -173,11 +173,15 @@
 	if err == nil {
 		err = readMessage(stream.in, &reply, maxStateBytes)
 	}
-	if !stop() || err != nil {
+	if stop() && err == nil {
+		stream.Done()
+	} else {
 		_ = stream.Close()
+	}
+	if err != nil {
 		return nil, eris.Wrapf(err, "call to %s", addr)
 	}
-	stream.Done()
+	// A reply that came just as ctx ended is a reply.
 	if reply.Error != "" {
 		return nil, eris.Errorf("%s refused the call: %s", addr, reply.Error)
 	}
