Leave the log to the revokes when many members are lost

Cause: when an availability zone is lost, every member that had a guardian there sends a new pair as soon as the first revoke is folded. The pairs queue at the log with the revokes for which keys wait. Worse: from when a member sends a pair until that is folded its lease is not renewed, so that a pair which queues for longer than the lease ends it, and its keys stop too. And a pair that is sent early often names another of the lost members, and has to be sent again.

Change: a member whose other guardian lives waits with its new pair until no member was revoked for 0.2 s, and then for a random part of twice the time that the revokes took, at least 10 ms each, at most 5 s in all. Changes to a pair that is only better placed wait for 3 s after several losses. A member without any guardian does not wait.

Measured by the new section zone: 48 daemons in three zones, one zone lost, the log taking 20 appends a second, which does to 16 losses what 300 do to 230.

--- a/io/member/follow.go
+++ b/io/member/follow.go
@@ -155,8 +155,11 @@
 	}
 	m.book.Observe(now, rec, verdict)
 	m.journal.add(now, entry.Offset, rec, verdict)
-	if _, ok := rec.(record.Snapshot); ok {
+	switch rec.(type) {
+	case record.Snapshot:
 		m.snapshot.seen(now, entry.Offset)
+	case record.Revoke:
+		m.losses.add(now)
 	}
 }
 
--- a/io/member/member.go
+++ b/io/member/member.go
@@ -131,6 +131,7 @@
 	releasing bool
 	duties    map[string]time.Time
 	load      loads
+	losses    losses
 	planning  planning
 	snapshot  snapshotClock
 }
--- a/io/member/tend.go
+++ b/io/member/tend.go
@@ -186,10 +186,11 @@
 	keep, bad := m.goodGuardians(now, self)
 	pair, ok := lease.ChoosePair(m.state, m.me, keep, m.usableGuardian(now))
 	underWay := m.book.PairUnderWay()
-	better := ok && !bad && m.betterPair(self, &pair)
+	better := ok && !bad && !m.losses.many(now) && m.betterPair(self, &pair)
+	wait := m.pairWaits(now, self, bad && !underWay)
 	m.mu.Unlock()
 	switch {
-	case !ok:
+	case !ok, wait:
 	case underWay, self.Epoch == 0, bad:
 		if m.due(now, "pair", resendAfter) {
 			m.changePair(self, pair)
--- a/standin/logservice/logservice.go
+++ b/standin/logservice/logservice.go
@@ -33,6 +33,9 @@
 	LoseAnswers int `json:"lose_answers"`
 	// Retain is the number of records kept; 0 keeps all.
 	Retain int `json:"retain"`
+	// AppendsPerSecond bounds the appends; those beyond wait for their turn. 0 is
+	// no bound.
+	AppendsPerSecond int `json:"appends_per_second"`
 }
 
 // Server is the stand-in. It implements http.Handler.
@@ -45,6 +48,8 @@
 	records []json.RawMessage
 	// grown is closed and replaced at each append.
 	grown chan struct{}
+	// turn is when the next append may be carried out.
+	turn time.Time
 }
 
 // New returns an empty log.
@@ -151,6 +156,7 @@
 	if !s.misbehave(w, r) {
 		return
 	}
+	s.awaitTurn(r)
 	s.mu.Lock()
 	offset := s.add(data)
 	lose := s.faults.LoseAnswers > 0
@@ -164,6 +170,28 @@
 	writeJSON(w, platformlog.AppendAnswer{Offset: offset})
 }
 
+// awaitTurn waits until an append may be carried out, or its client has gone; it
+// is carried out all the same.
+func (s *Server) awaitTurn(r *http.Request) {
+	s.mu.Lock()
+	rate := s.faults.AppendsPerSecond
+	if rate == 0 {
+		s.mu.Unlock()
+		return
+	}
+	now := time.Now()
+	if s.turn.Before(now) {
+		s.turn = now
+	}
+	wait := s.turn.Sub(now)
+	s.turn = s.turn.Add(time.Second / time.Duration(rate))
+	s.mu.Unlock()
+	select {
+	case <-time.After(wait):
+	case <-r.Context().Done():
+	}
+}
+
 func (s *Server) read(w http.ResponseWriter, r *http.Request) {
 	if !s.misbehave(w, r) {
 		return
--- a/standin/measure/report.go
+++ b/standin/measure/report.go
@@ -64,6 +64,7 @@
 	{"cost", requestCost},
 	{"control", control},
 	{"recovery", recovery},
+	{"zone", zoneLoss},
 	{"scenarios", scenarios},
 	{"balance", balancing},
 	{"shared", shared},
