Put what all measurements do to a fleet into one file

The type trial and its methods stood in four files, next to the section that first needed them. Moved as they were.

--- a/standin/measure/loads.go
+++ b/standin/measure/loads.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"syscall"
 	"time"
 
 	"siskinknot/core/request"
@@ -232,34 +231,3 @@
 		{name: "hot keys move", args: quickTargets, phase: longPhase, always: []stream{skew}},
 	}
 }
-
-// faults sets the faults of the targets with the given numbers.
-func (t *trial) faults(f targetserver.Faults, numbers ...int) error {
-	for _, n := range numbers {
-		if err := t.fleet.Servers[n].SetFaults(f); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// replace stops the daemons with the given numbers in good order, one after the
-// other, and starts each again.
-func (t *trial) replace(numbers ...int) error {
-	for _, n := range numbers {
-		s := t.fleet.Servers[n]
-		t.entries.Avoid(s)
-		s.Daemon.Signal(syscall.SIGTERM)
-		if _, err := s.Daemon.Wait(t.ctx); err != nil {
-			return err
-		}
-		if err := s.StartDaemon(); err != nil {
-			return err
-		}
-		if err := t.fleet.WaitReady(t.ctx); err != nil {
-			return err
-		}
-		t.entries.Use(s)
-	}
-	return nil
-}
--- a/standin/measure/recovery.go
+++ b/standin/measure/recovery.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"siskinknot/core/request"
-	"siskinknot/io/member"
 	"siskinknot/standin/faultproxy"
 	"siskinknot/standin/load"
 	"siskinknot/standin/logservice"
@@ -27,17 +26,6 @@
 		"registry": {"kind": "divided", "slots": 128, "values": {"target_checks_grants": true, "balance_interval_ms": 500}}}}`
 )
 
-// trial is a fleet under lookups, to which something happens.
-type trial struct {
-	ctx    context.Context
-	fleet  *processes.Fleet
-	victim *processes.Server
-	// entries are the daemons that the callers use.
-	entries *processes.Entries
-	// delay is the callers' to their entries.
-	delay time.Duration
-}
-
 // recoveryFaults are the things that happen.
 var recoveryFaults = []struct {
 	name string
@@ -213,26 +201,6 @@
 	return r, err
 }
 
-// zone returns the servers in the victim's availability zone, and keeps the
-// callers from using their daemons.
-func (t *trial) zone() []*processes.Server {
-	var list []*processes.Server
-	for _, s := range t.fleet.Servers {
-		if s.Spec.Zone == t.victim.Spec.Zone {
-			list = append(list, s)
-			t.entries.Avoid(s)
-		}
-	}
-	return list
-}
-
-// gone waits until the victim owns nothing.
-func (t *trial) gone() error {
-	return t.entries.Pick(rand.IntN).UntilStatus(t.ctx, func(st member.FleetStatus) string {
-		return processes.OwnsNothing(st, t.victim.Spec.Name)
-	})
-}
-
 // offer offers lookups until ctx ends.
 func (t *trial) offer(ctx context.Context, r tried) {
 	c := load.NewCaller("nursery")
--- a/standin/measure/scenarios.go
+++ b/standin/measure/scenarios.go
@@ -148,19 +148,6 @@
 	return during, nil
 }
 
-// changes returns how often units of each service have changed owner.
-func (t *trial) changes() (map[string]int, error) {
-	st, err := t.entries.Pick(rand.IntN).Operator.Status(t.ctx)
-	if err != nil {
-		return nil, err
-	}
-	changes := map[string]int{}
-	for _, svc := range st.Services {
-		changes[svc.Name] = svc.Changes
-	}
-	return changes, nil
-}
-
 // offered is what became of a stream.
 type offered struct {
 	// late counts the requests of the last third of the phase, tally all.
--- a/standin/measure/zone.go
+++ b/standin/measure/zone.go
@@ -86,22 +86,3 @@
 		fmt.Sprint(r.tally.Count(load.NotRun)), fmt.Sprint(r.tally.Count(load.Unknown)),
 	}, nil
 }
-
-// sums adds up the metrics of the daemons that callers use; the next offset of
-// the log is the furthest.
-func (t *trial) sums() (map[string]float64, error) {
-	total := map[string]float64{}
-	next := 0.0
-	for _, s := range t.entries.Used() {
-		values, err := metrics(s)
-		if err != nil {
-			return nil, err
-		}
-		for name, value := range values {
-			total[name] += value
-		}
-		next = max(next, values["siskinknot_log_next_offset"])
-	}
-	total["siskinknot_log_next_offset"] = next
-	return total, nil
-}
