Say things once in the stand-ins and measurements

Found by reading the whole change: the section zone summed up metrics beside the function of the section control; losing a VM was written out in eight places; the end of a penalty was tested in two forms; Gaps kept totals and counted open gaps for nobody.

Change: one sums over a list of servers, Server.Kill, finding.served; the unused parts of Gaps are gone. No check and no expectation is touched.

make test passes (integration 87 s), lint has no issues, the section control runs. The section zone was not run again.

--- a/core/balance/slow.go
+++ b/core/balance/slow.go
@@ -53,6 +53,9 @@
 	factor float64
 }
 
+// served reports whether the penalty is over.
+func (f *finding) served(now time.Time) bool { return now.Sub(f.at) >= f.penalty }
+
 // Observe notes that the quickest quarter of a server's recent requests took up
 // to quick.
 func (s *SlowServers) Observe(now time.Time, id record.Incarnation, quick time.Duration) {
@@ -95,7 +98,7 @@
 // otherwise.
 func (s *SlowServers) Factor(now time.Time, id record.Incarnation) float64 {
 	f, ok := s.found[id]
-	if !ok || !now.Before(f.at.Add(f.penalty)) {
+	if !ok || f.served(now) {
 		return 1
 	}
 	return f.factor
@@ -104,7 +107,7 @@
 // OnProbation reports whether a server was slow not long ago.
 func (s *SlowServers) OnProbation(now time.Time, id record.Incarnation) bool {
 	f, ok := s.found[id]
-	return ok && !now.Before(f.at.Add(f.penalty))
+	return ok && f.served(now)
 }
 
 // penalize marks a server as slow.
--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -167,8 +167,7 @@
 func (d *demo) loseVM(ctx context.Context, killed *processes.Server) error {
 	d.say("%s loses its VM: the daemon and the target are killed", killed.Spec.Name)
 	d.entries.Avoid(killed)
-	killed.Daemon.Kill()
-	killed.Target.Kill()
+	killed.Kill()
 	if err := d.awaitOwned(ctx, killed.Spec.Name); err != nil {
 		return err
 	}
--- a/standin/load/gaps.go
+++ b/standin/load/gaps.go
@@ -11,7 +11,6 @@
 	mu      sync.Mutex
 	since   map[string]time.Time
 	longest map[string]time.Duration
-	total   map[string]time.Duration
 }
 
 // NewGaps returns a Gaps that has seen nothing.
@@ -19,7 +18,6 @@
 	return &Gaps{
 		since:   map[string]time.Time{},
 		longest: map[string]time.Duration{},
-		total:   map[string]time.Duration{},
 	}
 }
 
@@ -33,15 +31,11 @@
 	case !answered && (!open || sent.Before(since)):
 		g.since[key] = sent
 	case answered && open:
-		gap := end.Sub(since)
-		g.longest[key] = max(g.longest[key], gap)
-		g.total[key] += gap
+		g.longest[key] = max(g.longest[key], end.Sub(since))
 		delete(g.since, key)
 	case answered:
 		// A request that waited for its owner was unavailable as well.
-		if wait := end.Sub(sent); wait > g.longest[key] {
-			g.longest[key] = wait
-		}
+		g.longest[key] = max(g.longest[key], end.Sub(sent))
 	}
 }
 
@@ -56,13 +50,6 @@
 	return longest
 }
 
-// Open returns the number of keys whose last request was not answered.
-func (g *Gaps) Open() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return len(g.since)
-}
-
 // Each returns the longest gap of each key.
 func (g *Gaps) Each() []time.Duration {
 	g.mu.Lock()
--- a/standin/measure/control.go
+++ b/standin/measure/control.go
@@ -44,12 +44,12 @@
 	}
 	defer fleet.Close()
 	time.Sleep(2 * time.Second) // the pairs of guardians settle
-	before, err := sums(fleet)
+	before, err := sums(fleet.Servers)
 	if err != nil {
 		return nil, err
 	}
 	time.Sleep(controlTime)
-	after, err := sums(fleet)
+	after, err := sums(fleet.Servers)
 	if err != nil {
 		return nil, err
 	}
@@ -68,11 +68,11 @@
 	return row, nil
 }
 
-// sums adds up the metrics of a fleet's daemons, their processor time (cpu, s)
-// and their memory (resident and most, MiB).
-func sums(fleet *processes.Fleet) (map[string]float64, error) {
+// sums adds up the metrics of servers' daemons, their processor time (cpu, s) and
+// their memory (resident and most, MiB); next is the furthest offset of the log.
+func sums(servers []*processes.Server) (map[string]float64, error) {
 	total := map[string]float64{}
-	for _, s := range fleet.Servers {
+	for _, s := range servers {
 		total["cpu"] += cpu(s.Daemon).Seconds()
 		total["resident"] += resident(s.Daemon)
 		total["most"] = max(total["most"], resident(s.Daemon))
@@ -80,6 +80,7 @@
 		if err != nil {
 			return nil, err
 		}
+		total["next"] = max(total["next"], values["siskinknot_log_next_offset"])
 		for name, value := range values {
 			if strings.HasPrefix(name, "siskinknot_") {
 				total[name] += value
--- a/standin/measure/loads.go
+++ b/standin/measure/loads.go
@@ -223,8 +223,7 @@
 			name: "a VM is lost", args: quickTargets, phase: phaseTime, always: all,
 			trouble: func(t *trial) error {
 				t.entries.Avoid(t.victim)
-				t.victim.Daemon.Kill()
-				t.victim.Target.Kill()
+				t.victim.Kill()
 				return t.gone()
 			},
 		},
--- a/standin/measure/recovery.go
+++ b/standin/measure/recovery.go
@@ -33,15 +33,13 @@
 }{
 	{"nothing", func(t *trial) error { pause(t.ctx, time.Second); return nil }},
 	{"VM lost", func(t *trial) error {
-		t.victim.Daemon.Kill()
-		t.victim.Target.Kill()
+		t.victim.Kill()
 		return t.gone()
 	}},
 	{"availability zone lost", func(t *trial) error {
 		lost := t.zone()
 		for _, s := range lost {
-			s.Daemon.Kill()
-			s.Target.Kill()
+			s.Kill()
 		}
 		for _, s := range lost {
 			t.victim = s
@@ -72,8 +70,7 @@
 			return err
 		}
 		pause(t.ctx, 300*time.Millisecond)
-		t.victim.Daemon.Kill()
-		t.victim.Target.Kill()
+		t.victim.Kill()
 		pause(t.ctx, 4*time.Second)
 		if err := t.fleet.SetLogFaults(logservice.Faults{LoseAnswers: 1}); err != nil {
 			return err
--- a/standin/measure/trial.go
+++ b/standin/measure/trial.go
@@ -85,22 +85,3 @@
 	}
 	return changes, nil
 }
-
-// sums adds up the metrics of the daemons that callers use; the next offset of
-// the log is the furthest.
-func (t *trial) sums() (map[string]float64, error) {
-	total := map[string]float64{}
-	next := 0.0
-	for _, s := range t.entries.Used() {
-		values, err := metrics(s)
-		if err != nil {
-			return nil, err
-		}
-		for name, value := range values {
-			total[name] += value
-		}
-		next = max(next, values["siskinknot_log_next_offset"])
-	}
-	total["siskinknot_log_next_offset"] = next
-	return total, nil
-}
--- a/standin/measure/zone.go
+++ b/standin/measure/zone.go
@@ -58,19 +58,18 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { t.offer(loadCtx, r) })
 	pause(ctx, time.Second)
-	before, err := t.sums()
+	before, err := sums(t.entries.Used())
 	if err == nil {
 		err = fleet.SetLogFaults(logservice.Faults{AppendsPerSecond: rate})
 	}
 	began := time.Now()
 	for _, s := range lost {
-		s.Daemon.Kill()
-		s.Target.Kill()
+		s.Kill()
 	}
 	pause(ctx, time.Until(began.Add(zoneWatched)))
 	stop()
 	wg.Wait()
-	after, sumErr := t.sums()
+	after, sumErr := sums(t.entries.Used())
 	switch {
 	case err != nil:
 		return nil, err
@@ -82,7 +81,7 @@
 	}
 	return []string{
 		fmt.Sprint(rate), ms(r.gaps.Longest()), ms(quantile(r.gaps.Each(), 0.99)), ms(quantile(r.gaps.Each(), 0.5)),
-		fmt.Sprintf("%.0f", after["siskinknot_log_next_offset"]-before["siskinknot_log_next_offset"]), grown("lease_pairs_sent"), grown("lease_lapses"),
+		fmt.Sprintf("%.0f", after["next"]-before["next"]), grown("lease_pairs_sent"), grown("lease_lapses"),
 		fmt.Sprint(r.tally.Count(load.NotRun)), fmt.Sprint(r.tally.Count(load.Unknown)),
 	}, nil
 }
--- a/standin/processes/processes.go
+++ b/standin/processes/processes.go
@@ -177,8 +177,7 @@
 // Close kills all processes and removes the shared directory.
 func (f *Fleet) Close() {
 	for _, s := range f.Servers {
-		s.Daemon.Kill()
-		s.Target.Kill()
+		s.Kill()
 		if s.Proxy != nil {
 			s.Proxy.Close()
 		}
@@ -190,6 +189,12 @@
 	_ = os.RemoveAll(f.Dir)
 }
 
+// Kill ends the daemon and the target, as the loss of the VM would.
+func (s *Server) Kill() {
+	s.Daemon.Kill()
+	s.Target.Kill()
+}
+
 // StartTarget starts the target, on its former port if it had one.
 func (s *Server) StartTarget() error {
 	listen := netip.AddrPortFrom(s.IP, s.TargetAddr.Port())
--- a/test/integration/faults_test.go
+++ b/test/integration/faults_test.go
@@ -57,8 +57,7 @@
 			r.restart(victim)
 		}},
 		{"kill the VM", func(r *run, victim, _ *processes.Server) {
-			victim.Daemon.Kill()
-			victim.Target.Kill()
+			victim.Kill()
 			r.gone(victim)
 			if err := victim.StartTarget(); err != nil {
 				r.t.Fatal(err)
@@ -224,8 +223,7 @@
 		{"replace every VM in turn", func(r *run, _, _ *processes.Server) {
 			for _, s := range r.fleet.Servers {
 				r.load.entries.Avoid(s)
-				s.Daemon.Kill()
-				s.Target.Kill()
+				s.Kill()
 				r.gone(s)
 				if err := s.StartTarget(); err != nil {
 					r.t.Fatal(err)
@@ -288,8 +286,7 @@
 		}
 	}
 	for _, s := range gone {
-		s.Daemon.Kill()
-		s.Target.Kill()
+		s.Kill()
 	}
 	for _, s := range gone {
 		r.gone(s)
