--- a/cmd/siskinknot/main.go
+++ b/cmd/siskinknot/main.go
@@ -25,6 +25,7 @@
 	top.Register(top.HelpCommand(), "help")
 	top.Register(top.FlagsCommand(), "help")
 	top.Register(&daemonCommand{}, "")
+	top.Register(&meshCommand{}, "")
 	top.Register(&configCommand{}, "")
 	top.Register(&settingsCommand{}, "operating")
 	top.Register(&statusCommand{}, "operating")
--- /dev/null
+++ b/core/directory/directory.go
@@ -0,0 +1,305 @@
+// Package directory holds what the members of a fleet have agreed on: who they
+// are, and which of them owns which keys of a divided service.
+//
+// The directory is a table of entries in the platform's metadata store. Every
+// change is a transaction that is conditional on the version its author has
+// applied, so that a change which was written is valid, and the newest record of
+// each entry is all there is to read. The version is the offset after the last
+// record.
+//
+// Keys of a divided service are numbers in order. An Assignment gives a range of
+// them to a member, and the ranges of a service do not overlap. Its fence is the
+// version at which its owner became the owner, so that it rises with each change
+// of owner.
+//
+// Weighed and left: a log of proposals that every daemon folds alike needs
+// snapshots, and ties all daemons to one version of the fold; slots by hash tear
+// neighbouring keys apart, which are busy together.
+//
+// # Usage
+//
+//	dir := directory.New()
+//	err := dir.Apply(update)
+//	owner, ok := dir.Owner("registry", 4711)
+//	update := directory.Update{Base: dir.End(), Entries: entries}
+package directory
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+)
+
+// MaxKey is the last key of a divided service.
+const MaxKey = 65535
+
+// State says what a member may do.
+type State string
+
+// The states of a member.
+const (
+	Active  State = "active"
+	Leaving State = "leaving" // keeps its keys and gets no more
+	Fenced  State = "fenced"  // to lose its keys once its lease has surely lapsed
+)
+
+// Member is a daemon with the target beside it. Its daemon's address names it.
+type Member struct {
+	Address netip.AddrPort `json:"address"`
+	Service string         `json:"service"`
+	Zone    string         `json:"availability_zone"`
+	// Instance and Born name the life of the target: its id and the time of its
+	// start as Unix milliseconds. Both are zero before the target's first
+	// heartbeat.
+	Instance string `json:"instance,omitempty"`
+	Born     int64  `json:"born_ms,omitempty"`
+	State    State  `json:"state"`
+	// Guardians renew the member's lease; empty for none yet.
+	Guardians []netip.AddrPort `json:"guardians,omitempty"`
+	// FencedBy is the member that set the state Fenced.
+	FencedBy netip.AddrPort `json:"fenced_by,omitzero"`
+	// FencedAt is the version that the change to Fenced was conditional on.
+	FencedAt uint64 `json:"fenced_at,omitempty"`
+}
+
+// Guards reports whether addr is a guardian of m.
+func (m *Member) Guards(addr netip.AddrPort) bool { return slices.Contains(m.Guardians, addr) }
+
+// Assignment gives the keys from First to Last, both included, to Owner.
+type Assignment struct {
+	Service string         `json:"service"`
+	First   uint16         `json:"first"`
+	Last    uint16         `json:"last"`
+	Owner   netip.AddrPort `json:"owner"`
+	// Fence rises with each owner of a key.
+	Fence uint64 `json:"fence"`
+	// Handover is what the former owner's target left for the new one.
+	Handover string `json:"handover,omitempty"`
+}
+
+// Has reports whether key is in the range.
+func (a *Assignment) Has(key uint16) bool { return a.First <= key && key <= a.Last }
+
+// Width returns the number of keys in the range.
+func (a *Assignment) Width() int { return int(a.Last) - int(a.First) + 1 }
+
+// Entry is a stored entry; one without a value is dropped.
+type Entry struct {
+	Key   string
+	Value []byte
+}
+
+// Update is a set of entries that takes the directory from version Base to
+// version End. Base 0 stands for the whole directory.
+type Update struct {
+	Base    uint64
+	End     uint64
+	Entries []Entry
+}
+
+const (
+	memberPrefix = "member/"
+	rangePrefix  = "range/"
+)
+
+// memberKey returns the key of a member's entry.
+func memberKey(addr netip.AddrPort) string { return memberPrefix + addr.String() }
+
+// rangeKey returns the key of the assignment that begins with first.
+func rangeKey(service string, first uint16) string {
+	return fmt.Sprintf("%s%s/%05d", rangePrefix, service, first)
+}
+
+// Put returns the entry that stores m.
+func (m Member) Put() Entry { return Entry{Key: memberKey(m.Address), Value: encode(m)} }
+
+// Drop returns the entry that removes m.
+func (m Member) Drop() Entry { return Entry{Key: memberKey(m.Address)} }
+
+// Put returns the entry that stores a.
+func (a Assignment) Put() Entry {
+	return Entry{Key: rangeKey(a.Service, a.First), Value: encode(a)}
+}
+
+// Drop returns the entry that removes a.
+func (a Assignment) Drop() Entry { return Entry{Key: rangeKey(a.Service, a.First)} }
+
+// encode returns v as JSON.
+func encode(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(fmt.Sprintf("directory entry %T does not encode: %v", v, err))
+	}
+	return data
+}
+
+// Directory is the table at one version. It is not safe for concurrent use.
+type Directory struct {
+	end     uint64
+	entries map[string][]byte
+	members map[netip.AddrPort]*Member
+	// ranges holds the assignments of each service, ordered by First.
+	ranges map[string][]*Assignment
+}
+
+// New returns the empty directory at version 0.
+func New() *Directory {
+	return &Directory{
+		entries: map[string][]byte{},
+		members: map[netip.AddrPort]*Member{},
+		ranges:  map[string][]*Assignment{},
+	}
+}
+
+// End returns the version.
+func (d *Directory) End() uint64 { return d.end }
+
+// Apply brings the directory to u.End and reports whether it changed. An update
+// that is not newer, or that does not continue the directory, changes nothing.
+func (d *Directory) Apply(u Update) bool {
+	if u.End <= d.end || (u.Base != 0 && u.Base != d.end) {
+		return false
+	}
+	if u.Base == 0 {
+		*d = *New()
+	}
+	for _, e := range u.Entries {
+		d.set(e)
+	}
+	d.end = u.End
+	for _, list := range d.ranges {
+		slices.SortFunc(list, func(a, b *Assignment) int { return cmp.Compare(a.First, b.First) })
+	}
+	return true
+}
+
+// set changes one entry. An entry that does not decode is kept, so that it is
+// passed on as it is, but names nothing.
+func (d *Directory) set(e Entry) {
+	d.unset(e.Key)
+	if len(e.Value) == 0 {
+		return
+	}
+	d.entries[e.Key] = e.Value
+	switch {
+	case strings.HasPrefix(e.Key, memberPrefix):
+		m := &Member{}
+		if json.Unmarshal(e.Value, m) == nil && memberKey(m.Address) == e.Key {
+			d.members[m.Address] = m
+		}
+	case strings.HasPrefix(e.Key, rangePrefix):
+		a := &Assignment{}
+		if json.Unmarshal(e.Value, a) == nil && rangeKey(a.Service, a.First) == e.Key && a.First <= a.Last {
+			d.ranges[a.Service] = append(d.ranges[a.Service], a)
+		}
+	}
+}
+
+// unset removes an entry.
+func (d *Directory) unset(key string) {
+	delete(d.entries, key)
+	if addr, ok := strings.CutPrefix(key, memberPrefix); ok {
+		if parsed, err := netip.ParseAddrPort(addr); err == nil {
+			delete(d.members, parsed)
+		}
+		return
+	}
+	service, _, _ := strings.Cut(strings.TrimPrefix(key, rangePrefix), "/")
+	d.ranges[service] = slices.DeleteFunc(d.ranges[service], func(a *Assignment) bool {
+		return rangeKey(a.Service, a.First) == key
+	})
+}
+
+// Snapshot returns the whole directory as an update.
+func (d *Directory) Snapshot() Update {
+	u := Update{End: d.end, Entries: make([]Entry, 0, len(d.entries))}
+	for key, value := range d.entries {
+		u.Entries = append(u.Entries, Entry{Key: key, Value: value})
+	}
+	slices.SortFunc(u.Entries, func(a, b Entry) int { return cmp.Compare(a.Key, b.Key) })
+	return u
+}
+
+// Member returns the member at addr, or nil.
+func (d *Directory) Member(addr netip.AddrPort) *Member { return d.members[addr] }
+
+// Members returns all members, ordered by address.
+func (d *Directory) Members() []*Member {
+	list := make([]*Member, 0, len(d.members))
+	for _, m := range d.members {
+		list = append(list, m)
+	}
+	slices.SortFunc(list, func(a, b *Member) int { return a.Address.Compare(b.Address) })
+	return list
+}
+
+// MembersOf returns the members of a service, ordered by address.
+func (d *Directory) MembersOf(service string) []*Member {
+	return slices.DeleteFunc(d.Members(), func(m *Member) bool { return m.Service != service })
+}
+
+// Assignments returns the assignments of a service in order. Callers must not
+// change them.
+func (d *Directory) Assignments(service string) []*Assignment { return d.ranges[service] }
+
+// AssignmentOf returns the assignment that key belongs to, or nil.
+func (d *Directory) AssignmentOf(service string, key uint16) *Assignment {
+	list := d.ranges[service]
+	i, found := slices.BinarySearchFunc(list, key, func(a *Assignment, key uint16) int {
+		return cmp.Compare(a.First, key)
+	})
+	if !found {
+		i--
+	}
+	if i < 0 || !list[i].Has(key) {
+		return nil
+	}
+	return list[i]
+}
+
+// OwnedBy returns the assignments of owner, in order.
+func (d *Directory) OwnedBy(owner netip.AddrPort) []*Assignment {
+	var list []*Assignment
+	for _, name := range d.services() {
+		for _, a := range d.ranges[name] {
+			if a.Owner == owner {
+				list = append(list, a)
+			}
+		}
+	}
+	return list
+}
+
+// services returns the names of the services with assignments, in order.
+func (d *Directory) services() []string {
+	names := make([]string, 0, len(d.ranges))
+	for name := range d.ranges {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Free returns the ranges of a service that have no assignment, as assignments
+// without an owner.
+func (d *Directory) Free(service string) []Assignment {
+	var free []Assignment
+	next := 0
+	for _, a := range d.ranges[service] {
+		if next < int(a.First) {
+			free = append(free, Assignment{Service: service, First: uint16(next), Last: a.First - 1})
+		}
+		next = int(a.Last) + 1
+	}
+	if next <= MaxKey {
+		free = append(free, Assignment{Service: service, First: uint16(next), Last: MaxKey})
+	}
+	return free
+}
+
+// Fence returns the fence of assignments that a transaction at this version
+// makes.
+func (d *Directory) Fence() uint64 { return d.end + 1 }
--- /dev/null
+++ b/core/placement/plan.go
@@ -0,0 +1,108 @@
+package placement
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+const (
+	// startRatio is the load of a target over the mean from which work moves.
+	startRatio = 1.2
+	// leastLoad is the load, as a share of a target's slots, below which it does
+	// not matter where work runs.
+	leastLoad = 0.25
+	// coldFactor is how much less a target that has just started is given.
+	coldFactor = 0.5
+	// leastMove is the smallest amount of work worth moving, as a share of the
+	// owner's slots.
+	leastMove = 0.03
+	// mostMove is the largest, so that a wrong estimate does little harm.
+	mostMove = 0.4
+)
+
+// Load is what a member reports of the target beside it.
+type Load struct {
+	Member    netip.AddrPort
+	Accepting bool
+	Cold      bool
+	Slots     int
+	// Demand is the target time a second that is asked for.
+	Demand float64
+	// Service is the mean time of a request at the target; 0 if unknown.
+	Service time.Duration
+}
+
+// ratio returns the demand as a share of what the target can do.
+func (l Load) ratio() float64 { return l.Demand / l.Room() }
+
+// Room returns the target time a second that the target should be given.
+func (l Load) Room() float64 {
+	if l.Cold {
+		return float64(max(l.Slots, 1)) * coldFactor
+	}
+	return float64(max(l.Slots, 1))
+}
+
+// Takers returns the members that take keys which have lost their owner, least
+// loaded first.
+func Takers(loads []Load) []Load {
+	takers := slices.DeleteFunc(slices.Clone(loads), func(l Load) bool { return !l.Accepting })
+	slices.SortFunc(takers, func(a, b Load) int { return cmp.Compare(a.ratio(), b.ratio()) })
+	return takers
+}
+
+// Move asks the owner From to pass on work to To. Demand is in From's target
+// time a second.
+type Move struct {
+	From, To netip.AddrPort
+	Demand   float64
+}
+
+// Plan returns the moves that even out the loads of one service's targets. Each
+// target takes part in one move at most, since what a move did shows only in the
+// next reports.
+func Plan(loads []Load) []Move {
+	usable := slices.DeleteFunc(slices.Clone(loads), func(l Load) bool { return !l.Accepting })
+	if len(usable) < 2 {
+		return nil
+	}
+	slices.SortFunc(usable, func(a, b Load) int { return cmp.Compare(b.ratio(), a.ratio()) })
+	mean := meanRatio(usable)
+	var moves []Move
+	for i, j := 0, len(usable)-1; i < j; i, j = i+1, j-1 {
+		from, to := usable[i], usable[j]
+		if from.ratio() < startRatio*mean || from.ratio() < leastLoad || to.ratio() > mean {
+			break
+		}
+		demand := between(from, to)
+		if demand < leastMove*float64(from.Slots) {
+			break
+		}
+		moves = append(moves, Move{From: from.Member, To: to.Member, Demand: demand})
+	}
+	return moves
+}
+
+// meanRatio returns the load that all targets would have if it were even.
+func meanRatio(loads []Load) float64 {
+	demand, room := 0.0, 0.0
+	for _, l := range loads {
+		demand += l.Demand
+		room += l.Room()
+	}
+	return demand / room
+}
+
+// between returns how much of from's work makes the two targets equally loaded.
+// Work takes a target that is twice as quick half the time.
+func between(from, to Load) float64 {
+	exchange := 1.0
+	if from.Service > 0 && to.Service > 0 {
+		exchange = min(max(to.Service.Seconds()/from.Service.Seconds(), 0.5), 2)
+	}
+	// from.Demand - x over from's room equals to.Demand + exchange*x over to's.
+	x := (from.Demand*to.Room() - to.Demand*from.Room()) / (to.Room() + exchange*from.Room())
+	return min(x, mostMove*float64(from.Slots))
+}
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -27,26 +27,36 @@
 	lastPause  = 80 * time.Millisecond
 )
 
-// budgetBurst is the number of retries that a quiet Budget has saved up.
-const budgetBurst = 20
+// DefaultBurst is the number of retries that a quiet Budget has saved up, unless
+// its user has a limit to keep.
+const DefaultBurst = 20
 
 // Budget limits retries to a share of the requests. It is safe for concurrent
 // use.
 type Budget struct {
 	mu     sync.Mutex
 	tokens float64
+	burst  float64
 }
 
-// NewBudget returns a full Budget.
-func NewBudget() *Budget {
-	return &Budget{tokens: budgetBurst}
+// NewBudget returns a full Budget that saves up to burst retries.
+func NewBudget(burst float64) *Budget {
+	return &Budget{tokens: burst, burst: burst}
+}
+
+// SetBurst changes how many retries the Budget saves up.
+func (b *Budget) SetBurst(burst float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.burst = burst
+	b.tokens = min(b.tokens, burst)
 }
 
 // Deposit notes an incoming request, which allows percent/100 retries.
 func (b *Budget) Deposit(percent int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens = min(b.tokens+float64(percent)/100, budgetBurst)
+	b.tokens = min(b.tokens+float64(percent)/100, b.burst)
 }
 
 // Withdraw takes one retry from the budget if it holds one.
@@ -79,7 +89,7 @@
 	if !now.Add(pause).Before(deadline) {
 		return 0, false
 	}
-	if ownerChanging(res) {
+	if OwnerChanging(res) {
 		return pause, true
 	}
 	if tries >= p.Attempts || !budget.Withdraw() {
@@ -88,9 +98,9 @@
 	return pause, true
 }
 
-// ownerChanging reports whether res says that no target got the request because
+// OwnerChanging reports whether res says that no target got the request because
 // the key's owner is changing or out of reach.
-func ownerChanging(res outcome.Result) bool {
+func OwnerChanging(res outcome.Result) bool {
 	notRun, ok := res.(outcome.NotRun)
 	if !ok {
 		return false
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -45,7 +45,7 @@
 // TestBudgetBoundsRetries checks that an overload cannot be amplified by more
 // than the share allowed.
 func TestBudgetBoundsRetries(t *testing.T) {
-	budget := NewBudget()
+	budget := NewBudget(DefaultBurst)
 	retries := 0
 	for range 10_000 {
 		budget.Deposit(20)
@@ -53,7 +53,7 @@
 			retries++
 		}
 	}
-	if retries > 10_000/5+budgetBurst {
+	if retries > 10_000/5+DefaultBurst {
 		t.Errorf("%d retries for 10000 requests", retries)
 	}
 }
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -121,7 +121,7 @@
 		pool:    pool,
 		tracer:  tracer,
 		metrics: newMetrics(scope),
-		budget:  retry.NewBudget(),
+		budget:  retry.NewBudget(retry.DefaultBurst),
 	}
 }
 
--- a/io/config/config.go
+++ b/io/config/config.go
@@ -92,7 +92,7 @@
 	if problems := fileSchema.Check(data); len(problems) > 0 {
 		return Config{}, schema.Error(problems)
 	}
-	if problems := checkAddresses(data); len(problems) > 0 {
+	if problems := checkAddresses(data, addressFields); len(problems) > 0 {
 		return Config{}, schema.Error(problems)
 	}
 	cfg := defaults
@@ -102,15 +102,18 @@
 	return cfg, cfg.check()
 }
 
+// addressFields are the fields of a Config that have to be addresses.
+var addressFields = []string{"daemon_address", "caller_address", "operator_address", "target_address", "log_address"}
+
 // checkAddresses finds the addresses that have the form of one but are none,
 // such as 300.1.1.1:80.
-func checkAddresses(data []byte) []schema.Problem {
+func checkAddresses(data []byte, names []string) []schema.Problem {
 	var fields map[string]json.RawMessage
 	if err := json.Unmarshal(data, &fields); err != nil {
 		return []schema.Problem{{Path: "/", Value: string(data), Want: "want an object"}}
 	}
 	var problems []schema.Problem
-	for _, name := range []string{"daemon_address", "caller_address", "operator_address", "target_address", "log_address"} {
+	for _, name := range names {
 		var text string
 		_ = json.Unmarshal(fields[name], &text)
 		if _, err := netip.ParseAddrPort(text); err != nil {
--- /dev/null
+++ b/io/config/mesh.go
@@ -0,0 +1,92 @@
+package config
+
+import (
+	_ "embed" // for the schema
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+
+	"siskinknot/core/record"
+	"siskinknot/core/schema"
+)
+
+//go:embed mesh_schema.json
+var meshSchemaText string
+
+var meshSchema = schema.MustCompile("mesh.schema.json", meshSchemaText)
+
+// Mesh is the configuration of a daemon whose fleet agrees through a metadata
+// store.
+type Mesh struct {
+	Server  string `json:"server"`
+	Service string `json:"service"`
+	Zone    string `json:"availability_zone"`
+	// Daemon, Caller, Ready, Heartbeat and Metrics are the addresses to listen
+	// on; Metrics may be left out.
+	Daemon    netip.AddrPort `json:"daemon_address"`
+	Caller    netip.AddrPort `json:"caller_address"`
+	Ready     netip.AddrPort `json:"ready_address"`
+	Heartbeat netip.AddrPort `json:"heartbeat_address"`
+	Metrics   netip.AddrPort `json:"metrics_address,omitzero"`
+	Target    netip.AddrPort `json:"target_address"`
+	Store     netip.AddrPort `json:"store_address"`
+	MemoryMB  float64        `json:"memory_mb"`
+	// MaxGrant is the longest grant that the target takes, and Drain how long it
+	// takes requests after its leaving was acknowledged.
+	MaxGrant record.Millis `json:"max_grant_ms"`
+	Drain    record.Millis `json:"drain_ms"`
+	// ShutdownLimitS is how long the daemon may take to stop, in seconds.
+	ShutdownLimitS float64 `json:"shutdown_limit_s"`
+	// RetryRatio, RetryExtra and RetryWindowS are the fleet's budget of second
+	// sends to a service: a share of its requests and a number, for each window
+	// of so many seconds.
+	RetryRatio   float64 `json:"retry_ratio"`
+	RetryExtra   float64 `json:"retry_extra"`
+	RetryWindowS float64 `json:"retry_window_s"`
+	LogLevel     string  `json:"log_level"`
+}
+
+// meshDefaults are the values of the fields that a file leaves out; those of the
+// platform's terms are its usual ones.
+var meshDefaults = Mesh{
+	MemoryMB:       256,
+	MaxGrant:       10_000 * millisecond,
+	Drain:          2_000 * millisecond,
+	ShutdownLimitS: 6,
+	RetryRatio:     0.2,
+	RetryExtra:     20,
+	RetryWindowS:   10,
+	LogLevel:       "info",
+}
+
+// millisecond is one millisecond as a record.Millis.
+const millisecond = record.Millis(1_000_000)
+
+// LoadMesh reads the file at path. The error of a file that breaks a rule is a
+// schema.Error.
+func LoadMesh(path string) (Mesh, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Mesh{}, fmt.Errorf("read configuration: %w", err)
+	}
+	return ParseMesh(data)
+}
+
+// ParseMesh reads a configuration.
+func ParseMesh(data []byte) (Mesh, error) {
+	if problems := meshSchema.Check(data); len(problems) > 0 {
+		return Mesh{}, schema.Error(problems)
+	}
+	addresses := []string{
+		"daemon_address", "caller_address", "ready_address", "heartbeat_address", "target_address", "store_address",
+	}
+	if problems := checkAddresses(data, addresses); len(problems) > 0 {
+		return Mesh{}, schema.Error(problems)
+	}
+	cfg := meshDefaults
+	if err := json.Unmarshal(data, &cfg); err != nil {
+		return Mesh{}, fmt.Errorf("parse configuration: %w", err)
+	}
+	return cfg, nil
+}
--- a/io/forward/serve.go
+++ b/io/forward/serve.go
@@ -110,7 +110,8 @@
 // end sends the outcome, with what is held back.
 func (e *streamExchange) end(res outcome.Result) {
 	part := e.pending
-	if part == nil {
+	if _, answered := res.(outcome.Answered); part == nil || !answered {
+		// What is held back of an answer that broke off is worth nothing.
 		part = &peerpb.Part{}
 	}
 	part.Last = true
--- /dev/null
+++ b/io/mesh/entry.go
@@ -0,0 +1,328 @@
+package mesh
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+
+	"siskinknot/core/balance"
+	"siskinknot/core/directory"
+	"siskinknot/core/outcome"
+	"siskinknot/core/record"
+	"siskinknot/core/request"
+	"siskinknot/core/retry"
+	"siskinknot/core/routing"
+	"siskinknot/io/boottime"
+	"siskinknot/io/forward"
+)
+
+const (
+	// waitShare is the share of a route's latency objective for which a request
+	// waits for its key's next owner. After a move that is soon; after a loss it
+	// is not, and the caller is told when to come back.
+	waitShare = 0.5
+	// moveRetryAfter and lossRetryAfter are when a key whose owner is changing,
+	// or is out of reach, is to be expected back.
+	moveRetryAfter = 150 * time.Millisecond
+	lossRetryAfter = 500 * time.Millisecond
+	// budgetShare is the share of the fleet's budget for second sends that is
+	// used: the daemons count on their own, and not at the same time.
+	budgetShare = 0.5
+	// busyShare is the share of its slots from which a target of the same zone
+	// is not preferred any more.
+	busyShare = 0.75
+)
+
+// Request is a caller's request.
+type Request struct {
+	Host   string
+	Method string
+	// Path is the escaped path without its query, and Target with it.
+	Path   string
+	Target string
+	Header http.Header
+	ID     string
+	// Key is the key in a divided service, a number from 0 to 65535 in decimal;
+	// empty if the caller named none.
+	Key    string
+	Caller string
+	// Received is when the request came, on CLOCK_BOOTTIME, and Left how long
+	// the caller waits from then on.
+	Received      time.Time
+	Left          time.Duration
+	Body          *forward.Body
+	ContentLength int64
+}
+
+// Refused is the outcome of a request that no route allows.
+type Refused struct {
+	outcome.NotRun
+	// Status is the HTTP status that says why.
+	Status int
+}
+
+// choosers holds the Chooser of each shared service.
+type choosers struct{ byService *sync.Map }
+
+func newChoosers() choosers { return choosers{byService: &sync.Map{}} }
+
+// of returns the Chooser of a service.
+func (c choosers) of(service string) *balance.Chooser {
+	if found, ok := c.byService.Load(service); ok {
+		return found.(*balance.Chooser)
+	}
+	found, _ := c.byService.LoadOrStore(service, balance.NewChooser())
+	return found.(*balance.Chooser)
+}
+
+// Sink receives an answer.
+type Sink interface {
+	forward.Sink
+	// Started reports whether the answer has begun, so that no other can be
+	// sent.
+	Started() bool
+}
+
+// call is a request under way.
+type call struct {
+	req   *Request
+	head  *request.Head
+	route *routing.Route
+	sink  Sink
+	// tries counts the sends, and tried holds the targets of a shared service
+	// that were sent to.
+	tries   int
+	tried   []netip.AddrPort
+	divided bool
+}
+
+// Serve runs a caller's request and passes the answer to sink. The result is an
+// outcome, or Refused.
+func (m *Mesh) Serve(ctx context.Context, req *Request, sink Sink) outcome.Result {
+	table := m.Table()
+	if table == nil {
+		return outcome.NotRun{Reason: outcome.Starting, RetryAfter: lossRetryAfter}
+	}
+	route, ok := table.Match(req.Host, req.Path)
+	if !ok {
+		return Refused{NotRun: outcome.NotRun{Reason: outcome.NoService}, Status: http.StatusNotFound}
+	}
+	if req.ContentLength > table.Limits.MaxBodyBytes && table.Limits.MaxBodyBytes > 0 {
+		return Refused{NotRun: outcome.NotRun{Reason: outcome.TooLarge}, Status: http.StatusRequestEntityTooLarge}
+	}
+	c := m.newCall(req, route, sink)
+	if svc, ok := table.Service(c.head.Service); ok {
+		c.divided = svc.Divided
+	}
+	if c.divided {
+		if _, err := strconv.ParseUint(req.Key, 10, 16); err != nil {
+			return Refused{NotRun: outcome.NotRun{Reason: outcome.Malformed}, Status: http.StatusBadRequest}
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.head.Deadline.Sub(boottime.Now()))
+	defer cancel()
+	res := m.attempts(ctx, c)
+	m.metrics.ended(res, boottime.Now().Sub(req.Received))
+	m.logEnd(c, table, res)
+	return res
+}
+
+// newCall returns the call of a request along route.
+func (m *Mesh) newCall(req *Request, route *routing.Route, sink Sink) *call {
+	class := request.Write
+	switch route.Kind {
+	case routing.Safe:
+		class = request.Lookup
+	case routing.Upload:
+		class = request.Bulk
+	case routing.Unsafe:
+	}
+	return &call{
+		req:   req,
+		route: route,
+		sink:  sink,
+		head: &request.Head{
+			Service:       route.Pick(rand.Float64()),
+			Key:           req.Key,
+			ID:            req.ID,
+			Caller:        req.Caller,
+			Class:         class,
+			Idempotent:    route.Kind.Idempotent(),
+			Deadline:      req.Received.Add(min(req.Left, route.Timeout)),
+			Method:        req.Method,
+			Path:          req.Target,
+			Header:        req.Header,
+			ContentLength: req.ContentLength,
+		},
+	}
+}
+
+// attempts sends a request until it is answered or may not be sent again.
+func (m *Mesh) attempts(ctx context.Context, c *call) outcome.Result {
+	m.mu.Lock()
+	m.budget.SetBurst(m.cfg.RetryExtra * budgetShare / float64(max(1, len(m.dir.Members()))))
+	m.mu.Unlock()
+	m.budget.Deposit(int(100 * m.cfg.RetryRatio * budgetShare))
+	policy := retry.Policy{Attempts: c.route.MaxAttempts}
+	giveUp := c.req.Received.Add(time.Duration(float64(c.route.LatencyObjective) * waitShare))
+	for {
+		c.tries++
+		m.mu.Lock()
+		changed := m.changed
+		m.mu.Unlock()
+		res := m.once(ctx, c)
+		if c.sink.Started() || c.req.Body.Taken {
+			return res
+		}
+		now := boottime.Now()
+		if retry.OwnerChanging(res) && now.After(giveUp) {
+			return m.comeBack(c, res)
+		}
+		pause, again := policy.Next(now, c.head.Deadline, res, c.head.Idempotent, c.tries, m.budget)
+		if !again || ctx.Err() != nil {
+			return m.comeBack(c, res)
+		}
+		m.waitChange(ctx, changed, pause)
+	}
+}
+
+// waitChange pauses before the next try; a change of the directory ends the
+// pause.
+func (m *Mesh) waitChange(ctx context.Context, changed <-chan struct{}, pause time.Duration) {
+	select {
+	case <-changed:
+	case <-time.After(pause):
+	case <-ctx.Done():
+	}
+}
+
+// comeBack returns res with the time after which a refused request is worth
+// another try.
+func (m *Mesh) comeBack(c *call, res outcome.Result) outcome.Result {
+	notRun, ok := res.(outcome.NotRun)
+	if !ok || notRun.RetryAfter > 0 {
+		return res
+	}
+	switch notRun.Reason {
+	case outcome.NotOwner, outcome.NoOwner:
+		notRun.RetryAfter = moveRetryAfter
+	case outcome.Unreachable, outcome.NoLease, outcome.Draining, outcome.Fenced:
+		notRun.RetryAfter = lossRetryAfter
+	default:
+		notRun.RetryAfter = c.route.LatencyObjective / 4
+	}
+	return notRun
+}
+
+// once makes one attempt.
+func (m *Mesh) once(ctx context.Context, c *call) outcome.Result {
+	if !c.divided {
+		return m.toShared(ctx, c)
+	}
+	key, err := strconv.ParseUint(c.head.Key, 10, 16)
+	if err != nil {
+		return outcome.NotRun{Reason: outcome.Malformed}
+	}
+	a := m.owned(c.head.Service, uint16(key))
+	if a == nil {
+		return outcome.NotRun{Reason: outcome.NoOwner}
+	}
+	return m.to(ctx, a.Owner, c)
+}
+
+// toShared sends a request to one target of a shared service.
+func (m *Mesh) toShared(ctx context.Context, c *call) outcome.Result {
+	now := boottime.Now()
+	candidates, local := m.candidates(now, c)
+	if len(candidates) == 0 {
+		return outcome.NotRun{Reason: outcome.NoOwner}
+	}
+	if len(local) > 0 {
+		candidates = local
+	}
+	ids := make([]record.Incarnation, 0, len(candidates))
+	for _, addr := range candidates {
+		ids = append(ids, record.Incarnation(addr.String()))
+	}
+	chooser := m.choosers.of(c.head.Service)
+	chosen := chooser.Pick(now, balance.TwoChoices, ids)
+	addr := netip.MustParseAddrPort(string(chosen))
+	c.tried = append(c.tried, addr)
+	res := m.to(ctx, addr, c)
+	ended := boottime.Now()
+	_, answered := res.(outcome.Answered)
+	chooser.Done(ended, chosen, ended.Sub(now), answered || reasonOf(res) == outcome.Cancelled)
+	return res
+}
+
+// candidates returns the targets that a shared request may go to, and those of
+// them in this zone that have room. Targets that were tried come only if there
+// are no others.
+func (m *Mesh) candidates(now time.Time, c *call) (all, local []netip.AddrPort) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.noteReport(now, m.cfg.Self, m.ownLoad(now))
+	var again []netip.AddrPort
+	for _, member := range m.dir.MembersOf(c.head.Service) {
+		r, known := m.loads[member.Address]
+		if member.State != directory.Active || (known && (!r.Accepting || now.Sub(r.at) > reportLimit)) {
+			continue
+		}
+		if contains(c.tried, member.Address) {
+			again = append(again, member.Address)
+			continue
+		}
+		all = append(all, member.Address)
+		if known && member.Zone == m.cfg.Zone && !r.Cold && float64(r.inFlight+r.queued) < busyShare*float64(r.Slots) {
+			local = append(local, member.Address)
+		}
+	}
+	if len(all) == 0 {
+		return again, nil
+	}
+	return all, local
+}
+
+// contains reports whether list has addr.
+func contains(list []netip.AddrPort, addr netip.AddrPort) bool {
+	for _, other := range list {
+		if other == addr {
+			return true
+		}
+	}
+	return false
+}
+
+// to sends a request to the daemon at addr, or runs it here.
+func (m *Mesh) to(ctx context.Context, addr netip.AddrPort, c *call) outcome.Result {
+	if addr == m.cfg.Self {
+		return m.run(ctx, c.head, &localExchange{Sink: c.sink, body: c.req.Body})
+	}
+	return forward.Send(ctx, m.pool, addr, c.head, c.req.Body, c.sink)
+}
+
+// localExchange serves a request whose target is beside the entry.
+type localExchange struct {
+	Sink
+	body *forward.Body
+}
+
+// Body implements forward.Exchange.
+func (x *localExchange) Body() (io.Reader, error) { return x.body.Reader(), nil }
+
+// logEnd logs a request that was not answered, or late.
+func (m *Mesh) logEnd(c *call, table *routing.Table, res outcome.Result) {
+	if _, answered := res.(outcome.Answered); answered {
+		return
+	}
+	now := boottime.Now()
+	m.log.Info("request not answered", "request", c.head.ID, "route", c.route.Name, "service", c.head.Service,
+		"key", c.head.Key, "outcome", res.String(), "reason", reasonOf(res), "tries", c.tries,
+		"took_ms", now.Sub(c.req.Received).Milliseconds(), "left_ms", c.head.Deadline.Sub(now).Milliseconds(),
+		"config", table.Version)
+}
--- /dev/null
+++ b/io/mesh/gate.go
@@ -0,0 +1,243 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strconv"
+	"time"
+
+	"siskinknot/core/admission"
+	"siskinknot/core/directory"
+	"siskinknot/core/outcome"
+	"siskinknot/core/request"
+	"siskinknot/io/boottime"
+	"siskinknot/io/forward"
+	"siskinknot/io/targetconn"
+)
+
+const (
+	// grantWait is the longest time that a request waits at its owner for keys
+	// that are on their way there: about that of a move.
+	grantWait = 300 * time.Millisecond
+	// wholeAnswer is the largest answer that is read whole before it is passed
+	// on, so that one which breaks off is not begun.
+	wholeAnswer = 64 << 10
+	// drainSlack is how long before the end of a leaving target's time it gets
+	// its last request.
+	drainSlack = 300 * time.Millisecond
+)
+
+// run runs a request at the target beside this daemon and passes its answer to
+// ex.
+func (m *Mesh) run(ctx context.Context, head *request.Head, ex forward.Exchange) outcome.Result {
+	now := boottime.Now()
+	key, divided, refusal := m.mayRun(now, head)
+	if refusal != nil {
+		return refusal
+	}
+	if divided {
+		if refusal := m.awaitKey(ctx, head, key); refusal != nil {
+			return refusal
+		}
+	}
+	m.mu.Lock()
+	m.demand.arrived(now, head.Class)
+	m.mu.Unlock()
+	permit, refusal := m.limiter.Acquire(ctx, boottime.Now(), admission.Request{
+		Class:    head.Class,
+		Caller:   head.Caller,
+		Deadline: head.Deadline,
+	})
+	if refusal != nil {
+		return refusal
+	}
+	started := boottime.Now()
+	permit.Start(started)
+	res, use := m.admitted(ctx, head, ex, key, divided)
+	ended := boottime.Now()
+	permit.Done(ended, use)
+	if use == admission.Served {
+		m.mu.Lock()
+		m.demand.served(head.Class, ended.Sub(started))
+		if divided {
+			m.heat.Add(ended, key, ended.Sub(started))
+		}
+		m.mu.Unlock()
+	}
+	return res
+}
+
+// mayRun reports whether requests of head's service run here at all, and which
+// key it is for.
+func (m *Mesh) mayRun(now time.Time, head *request.Head) (key uint16, divided bool, refusal outcome.Result) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	t := &m.target
+	switch {
+	case m.table == nil || !m.loaded:
+		return 0, false, outcome.NotRun{Reason: outcome.Starting}
+	case head.Service != m.cfg.Service:
+		return 0, false, outcome.NotRun{Reason: outcome.NotOwner}
+	case t.Instance == "" || t.down:
+		return 0, false, outcome.NotRun{Reason: outcome.Unreachable}
+	}
+	divided = m.divided()
+	if refusal := m.leavingRefuses(now, divided); refusal != nil || !divided {
+		return 0, divided, refusal
+	}
+	n, err := strconv.ParseUint(head.Key, 10, 16)
+	if err != nil {
+		return 0, true, outcome.NotRun{Reason: outcome.Malformed}
+	}
+	return uint16(n), true, nil
+}
+
+// leavingRefuses returns why a leaving target takes no request, or nil: an owner
+// serves its keys until they are passed on, within its time. The caller holds
+// the mutex.
+func (m *Mesh) leavingRefuses(now time.Time, divided bool) outcome.Result {
+	t := &m.target
+	if t.leavingSince.IsZero() {
+		return nil
+	}
+	if !divided || now.Sub(t.leavingSince) > m.cfg.DrainTime-drainSlack {
+		return outcome.NotRun{Reason: outcome.Draining}
+	}
+	return nil
+}
+
+// holds returns why the target may not be sent a request for key at now, or nil.
+// The caller holds the mutex.
+func (m *Mesh) holds(now time.Time, key uint16) outcome.Result {
+	h := m.holdingOf(key)
+	switch {
+	case h == nil || h.closing:
+		return outcome.NotRun{Reason: outcome.NotOwner, Offset: m.dir.End()}
+	case !m.book.Holds(now, m.dir):
+		return outcome.NotRun{Reason: outcome.NoLease}
+	case !h.granted || !now.Before(h.grantedUntil):
+		return outcome.NotRun{Reason: outcome.NoOwner}
+	default:
+		return nil
+	}
+}
+
+// awaitKey waits until the target holds key, if this member owns it or is about
+// to, and returns why not otherwise.
+func (m *Mesh) awaitKey(ctx context.Context, head *request.Head, key uint16) outcome.Result {
+	var limit <-chan time.Time
+	for {
+		now := boottime.Now()
+		m.mu.Lock()
+		refusal := m.holds(now, key)
+		changed := m.changed
+		m.mu.Unlock()
+		notRun, refused := refusal.(outcome.NotRun)
+		if !refused {
+			return nil
+		}
+		if notRun.Reason == outcome.NotOwner {
+			return refusal
+		}
+		if limit == nil {
+			limit = time.After(min(grantWait, head.Deadline.Sub(now)/3))
+		}
+		select {
+		case <-changed:
+		case <-limit:
+			return refusal
+		case <-ctx.Done():
+			return outcome.NotRun{Reason: outcome.Cancelled}
+		}
+	}
+}
+
+// admitted hands a request that holds a slot to the target, if the target holds
+// its key at this moment.
+func (m *Mesh) admitted(ctx context.Context, head *request.Head, ex forward.Exchange, key uint16, divided bool) (outcome.Result, admission.Use) {
+	now := boottime.Now()
+	m.mu.Lock()
+	refusal := m.leavingRefuses(now, divided)
+	if divided && refusal == nil {
+		refusal = m.holds(now, key)
+	}
+	instance := m.target.Instance
+	m.mu.Unlock()
+	switch {
+	case refusal != nil:
+		return refusal, admission.Unused
+	case !now.Before(head.Deadline):
+		return outcome.NotRun{Reason: outcome.DeadlinePast}, admission.Unused
+	}
+	body, err := ex.Body()
+	if err != nil {
+		return outcome.NotRun{Reason: outcome.Cancelled}, admission.Unused
+	}
+	resp, res := m.out.Send(ctx, head, body, instance)
+	if res != nil {
+		return m.failed(res, key, divided)
+	}
+	return m.deliver(resp, ex), admission.Served
+}
+
+// failed follows a request without an answer.
+func (m *Mesh) failed(res outcome.Result, key uint16, divided bool) (outcome.Result, admission.Use) {
+	notRun, ok := res.(outcome.NotRun)
+	if !ok {
+		return res, admission.Served
+	}
+	switch notRun.Reason {
+	case outcome.Shed:
+		return res, admission.Shed
+	case outcome.Fenced:
+		// The target does not hold the key: its grant is made anew.
+		m.mu.Lock()
+		if h := m.holdingOf(key); divided && h != nil {
+			h.granted = false
+		}
+		m.notify()
+		m.mu.Unlock()
+	case outcome.Unreachable:
+		m.targetDown()
+	default:
+	}
+	return res, admission.Unused
+}
+
+// deliver passes an answer on.
+func (m *Mesh) deliver(resp *targetconn.Response, ex forward.Exchange) outcome.Result {
+	defer func() { _ = resp.Body.Close() }()
+	whole, err := io.ReadAll(io.LimitReader(resp.Body, wholeAnswer+1))
+	if err != nil {
+		return outcome.Unknown{Reason: outcome.ConnectionCut}
+	}
+	length := resp.ContentLength
+	if len(whole) <= wholeAnswer {
+		length = int64(len(whole))
+	}
+	if ex.Head(resp.Status, resp.Header, length) != nil || ex.Write(whole) != nil {
+		return outcome.Unknown{Reason: outcome.Cancelled}
+	}
+	buf := make([]byte, 16<<10)
+	for len(whole) > wholeAnswer {
+		n, err := resp.Body.Read(buf)
+		if n > 0 && ex.Write(buf[:n]) != nil {
+			return outcome.Unknown{Reason: outcome.Cancelled}
+		}
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return outcome.Unknown{Reason: outcome.ConnectionCut}
+		}
+	}
+	return outcome.Answered{Status: resp.Status}
+}
+
+// owned returns the assignment of a key, or nil.
+func (m *Mesh) owned(service string, key uint16) *directory.Assignment {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.dir.AssignmentOf(service, key)
+}
--- /dev/null
+++ b/io/mesh/heartbeat.go
@@ -0,0 +1,172 @@
+package mesh
+
+import (
+	"net/netip"
+	"time"
+
+	"siskinknot/core/directory"
+	"siskinknot/core/placement"
+	"siskinknot/core/tenure"
+	"siskinknot/io/boottime"
+	"siskinknot/io/peer/peerpb"
+)
+
+const (
+	// othersEvery is how many heartbeats to guardians there are for each to
+	// other members.
+	othersEvery = 2
+	// reportLimit is how long a member's report of its load is believed.
+	reportLimit = 2 * time.Second
+)
+
+// report is what another member said of its target, and when.
+type report struct {
+	placement.Load
+	at       time.Time
+	inFlight int
+	queued   int
+}
+
+// beat is the task that sends heartbeats.
+func (m *Mesh) beat() error {
+	round := 0
+	return m.every(tenure.RenewEvery, func(now time.Time) {
+		round++
+		m.mu.Lock()
+		load := m.ownLoad(now)
+		me := m.dir.Member(m.cfg.Self)
+		msg := &peerpb.Heartbeat{From: m.cfg.Self.String(), DirectoryEnd: m.dir.End(), Load: load}
+		if m.table != nil {
+			msg.ConfigVersion = m.table.Version
+		}
+		loaded := m.loaded
+		var guardians, rest []netip.AddrPort
+		for _, member := range m.dir.Members() {
+			switch {
+			case member.Address == m.cfg.Self:
+			case me != nil && me.Guards(member.Address):
+				guardians = append(guardians, member.Address)
+			case round%othersEvery == 0:
+				rest = append(rest, member.Address)
+			}
+		}
+		m.mu.Unlock()
+		if !loaded {
+			return
+		}
+		for _, addr := range guardians {
+			go m.sendHeartbeat(addr, msg, true)
+		}
+		for _, addr := range rest {
+			go m.sendHeartbeat(addr, msg, false)
+		}
+	})
+}
+
+// sendHeartbeat sends a heartbeat to another member; renew asks it to renew the
+// lease.
+func (m *Mesh) sendHeartbeat(addr netip.AddrPort, msg *peerpb.Heartbeat, renew bool) {
+	call := &peerpb.Heartbeat{
+		From:          msg.From,
+		DirectoryEnd:  msg.DirectoryEnd,
+		ConfigVersion: msg.ConfigVersion,
+		Load:          msg.Load,
+		Renew:         renew,
+	}
+	ctx, cancel := m.timeout(peerTimeout)
+	defer cancel()
+	sentAt := boottime.Now()
+	reply, err := m.pool.Ask(ctx, addr, &peerpb.Call{Kind: &peerpb.Call_Heartbeat{Heartbeat: call}})
+	if err != nil {
+		return
+	}
+	now := boottime.Now()
+	m.mu.Lock()
+	m.contacts[addr] = now
+	m.book.Confirmed(now, addr, reply.NextOffset)
+	if renew && reply.Granted {
+		m.book.Granted(now, sentAt, addr)
+	}
+	behind := reply.NextOffset > m.dir.End() || (m.table == nil && reply.SettingsVersion > 0) ||
+		(m.table != nil && reply.SettingsVersion > m.table.Version)
+	m.mu.Unlock()
+	if behind {
+		m.fetch(addr, reply.NextOffset, reply.SettingsVersion)
+	}
+}
+
+// answerHeartbeat notes another member's heartbeat and renews its lease.
+func (m *Mesh) answerHeartbeat(hb *peerpb.Heartbeat) *peerpb.Reply {
+	from, err := netip.ParseAddrPort(hb.From)
+	if err != nil {
+		return &peerpb.Reply{Error: "sender " + hb.From + " is not an address"}
+	}
+	now := boottime.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.book.Heard(now, from)
+	m.contacts[from] = now
+	m.noteReport(now, from, hb.Load)
+	m.book.Confirmed(now, from, hb.DirectoryEnd)
+	reply := &peerpb.Reply{NextOffset: m.dir.End()}
+	if m.table != nil {
+		reply.SettingsVersion = m.table.Version
+	}
+	if hb.Renew {
+		reply.Granted = m.book.Renew(now, m.dir, from)
+	}
+	if hb.DirectoryEnd > m.dir.End() || hb.ConfigVersion > reply.SettingsVersion {
+		go m.fetch(from, hb.DirectoryEnd, hb.ConfigVersion)
+	}
+	return reply
+}
+
+// noteReport notes what a member says of its target. The caller holds the mutex.
+func (m *Mesh) noteReport(now time.Time, from netip.AddrPort, load *peerpb.TargetLoad) {
+	if load == nil {
+		return
+	}
+	m.loads[from] = report{
+		Load: placement.Load{
+			Member:    from,
+			Accepting: load.Accepting,
+			Cold:      load.Cold,
+			Slots:     int(load.Slots),
+			Demand:    load.Demand,
+			Service:   time.Duration(load.ServiceUs) * time.Microsecond,
+		},
+		at:       now,
+		inFlight: int(load.InFlight),
+		queued:   int(load.Queued),
+	}
+}
+
+// ownLoad returns the report of this daemon's target. The caller holds the
+// mutex.
+func (m *Mesh) ownLoad(now time.Time) *peerpb.TargetLoad {
+	load := m.limiter.Load()
+	return &peerpb.TargetLoad{
+		Accepting: m.target.accepting() && !m.leaving,
+		Cold:      now.Before(m.target.coldUntil),
+		Slots:     uint32(max(m.target.Slots, 0)),
+		Demand:    m.demand.perSecond(now),
+		ServiceUs: uint64(m.demand.meanService().Microseconds()),
+		InFlight:  uint32(load.InFlight),
+		Queued:    uint32(load.Queued),
+	}
+}
+
+// loadsOf returns the recent reports of a service's members, this one included.
+// The caller holds the mutex.
+func (m *Mesh) loadsOf(now time.Time, service string) []placement.Load {
+	m.noteReport(now, m.cfg.Self, m.ownLoad(now))
+	var list []placement.Load
+	for _, member := range m.dir.MembersOf(service) {
+		r, ok := m.loads[member.Address]
+		if !ok || now.Sub(r.at) > reportLimit || member.State != directory.Active {
+			continue
+		}
+		list = append(list, r.Load)
+	}
+	return list
+}
--- /dev/null
+++ b/io/mesh/move.go
@@ -0,0 +1,278 @@
+package mesh
+
+import (
+	"cmp"
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"siskinknot/core/directory"
+	"siskinknot/core/placement"
+	"siskinknot/io/boottime"
+	"siskinknot/io/peer/peerpb"
+)
+
+const (
+	// releaseTimeout is how long a release may wait for the work on its keys.
+	releaseTimeout = 1500 * time.Millisecond
+	// mostHoldings is how many ranges a member may have before only whole ones
+	// are moved: each is a grant to renew.
+	mostHoldings = 24
+)
+
+// answerYield passes some of this member's work on to another.
+func (m *Mesh) answerYield(yield *peerpb.Yield) *peerpb.Reply {
+	to, err := netip.ParseAddrPort(yield.To)
+	if err != nil {
+		return &peerpb.Reply{Error: "receiver " + yield.To + " is not an address"}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.moving || m.leaving || !m.storeOK || yield.Service != m.cfg.Service || !m.book.Holds(boottime.Now(), m.dir) {
+		return &peerpb.Reply{}
+	}
+	h, ok := m.pickPart(yield.Demand)
+	if !ok {
+		return &peerpb.Reply{}
+	}
+	m.moving = true
+	m.log.Info("passing keys on", "first", h.First, "last", h.Last, "to", to, "demand", yield.Demand)
+	go func() {
+		m.pass([]*holding{h}, func(int) netip.AddrPort { return to })
+		m.mu.Lock()
+		m.moving = false
+		m.mu.Unlock()
+	}()
+	return &peerpb.Reply{Granted: true}
+}
+
+// pickPart chooses keys that make up about demand, and closes them. The caller
+// holds the mutex.
+func (m *Mesh) pickPart(demand float64) (*holding, bool) {
+	now := boottime.Now()
+	var best placement.Stretch
+	var from *holding
+	for _, h := range m.holdings {
+		if h.closing || h.calling || !h.granted {
+			continue
+		}
+		s, ok := m.heat.Pick(now, h.First, h.Last, demand)
+		if whole := m.heat.Demand(now, h.First, h.Last); !ok && whole > 0.5*demand && whole < 1.25*demand && len(m.holdings) > 1 {
+			s, ok = placement.Stretch{First: h.First, Last: h.Last, Demand: whole}, true
+		}
+		if ok && (from == nil || s.Last-s.First < best.Last-best.First) {
+			best, from = s, h
+		}
+	}
+	if from == nil || (len(m.holdings) > mostHoldings && best.Last-best.First != from.Last-from.First) {
+		return nil, false
+	}
+	return m.closePart(from, best.First, best.Last), true
+}
+
+// closePart splits the holding h, of which no grant is under way, so that the
+// keys from first to last are one of their own, and closes that one. The caller
+// holds the mutex.
+func (m *Mesh) closePart(h *holding, first, last uint16) *holding {
+	part := *h
+	part.First, part.Last, part.closing = first, last, true
+	rest := slices.DeleteFunc(slices.Clone(m.holdings), func(other *holding) bool { return other == h })
+	if h.First < first {
+		before := *h
+		before.Last = first - 1
+		rest = append(rest, &before)
+	}
+	if last < h.Last {
+		after := *h
+		after.First = last + 1
+		rest = append(rest, &after)
+	}
+	m.holdings = append(rest, &part)
+	slices.SortFunc(m.holdings, func(a, b *holding) int { return cmp.Compare(a.First, b.First) })
+	m.notify()
+	return &part
+}
+
+// pass releases closed holdings and gives each to the member that to names for
+// it, each as soon as its own work has ended.
+func (m *Mesh) pass(parts []*holding, to func(i int) netip.AddrPort) {
+	done := make(chan struct{}, len(parts))
+	for i, h := range parts {
+		go func() {
+			m.passOne(h, to(i))
+			done <- struct{}{}
+		}()
+	}
+	for range parts {
+		<-done
+	}
+}
+
+// passOne releases a closed holding and gives it to another member. If the
+// directory cannot be changed, the keys are opened again.
+func (m *Mesh) passOne(h *holding, to netip.AddrPort) {
+	started := boottime.Now()
+	ctx, cancel := m.timeout(releaseTimeout)
+	handover, ok := m.release(ctx, h)
+	cancel()
+	if !ok {
+		m.reopen(h)
+		return
+	}
+	released := boottime.Now()
+	err := m.commit("move", func(dir *directory.Directory) []directory.Entry {
+		a := dir.AssignmentOf(h.Service, h.First)
+		if a == nil || a.Owner != m.cfg.Self || a.Fence != h.Fence || a.Last < h.Last {
+			return nil
+		}
+		return dir.Move(a, []directory.Part{{First: h.First, Last: h.Last, To: to, Handover: handover}})
+	})
+	m.logIf("move", err)
+	m.log.Info("keys passed on", "first", h.First, "last", h.Last, "to", to, "warm", handover != "",
+		"release_ms", released.Sub(started).Milliseconds(), "write_ms", boottime.Now().Sub(released).Milliseconds())
+	if err != nil {
+		m.reopen(h)
+	}
+}
+
+// reopen lets this member serve the keys of h again, if they are still its own.
+// A change whose fate is not known keeps them closed until it is.
+func (m *Mesh) reopen(h *holding) {
+	for m.tomb.Alive() && !m.refresh() {
+		select {
+		case <-m.tomb.Dying():
+		case <-time.After(retryRead):
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	h.closing, h.granted = false, false
+	m.notify()
+}
+
+// evacuateIfLeaving passes all keys on if the target leaves or has ended.
+func (m *Mesh) evacuateIfLeaving() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	gone := m.target.down || !m.target.leavingSince.IsZero()
+	if m.leaving {
+		return // Leave does it
+	}
+	m.draining = gone
+	if gone {
+		m.evacuate()
+	}
+}
+
+// evacuate starts to pass on all keys and reports whether it did; not while a
+// move or a grant is under way. The caller holds the mutex.
+func (m *Mesh) evacuate() bool {
+	if m.moving || !m.divided() || slices.ContainsFunc(m.holdings, func(h *holding) bool { return h.calling }) {
+		return false
+	}
+	parts, to := m.evacuation()
+	if len(parts) == 0 {
+		m.draining = false
+		return false
+	}
+	m.log.Info("passing all keys on", "parts", len(parts))
+	m.moving = true
+	go func() {
+		m.pass(parts, func(i int) netip.AddrPort { return to[i] })
+		m.mu.Lock()
+		m.moving = false
+		m.notify()
+		m.mu.Unlock()
+	}()
+	return true
+}
+
+// evacuation closes all holdings, cut up so that the other members get work by
+// their room, and names the receiver of each part. The caller holds the mutex.
+func (m *Mesh) evacuation() ([]*holding, []netip.AddrPort) {
+	now := boottime.Now()
+	takers := m.takers(now, m.cfg.Service, m.cfg.Self)
+	if len(takers) == 0 {
+		return nil, nil
+	}
+	weights := make([]float64, len(takers))
+	for i, t := range takers {
+		weights[i] = t.Room()
+	}
+	var parts []*holding
+	var to []netip.AddrPort
+	for i, h := range slices.Clone(m.holdings) {
+		if h.closing {
+			continue
+		}
+		shares := weights
+		if len(m.holdings) > len(takers) {
+			// Many small ranges go whole, in turn.
+			shares = make([]float64, len(takers))
+			shares[i%len(takers)] = 1
+		}
+		rest := h
+		for j, cut := range m.heat.Divide(now, h.First, h.Last, shares) {
+			if cut.First > cut.Last {
+				continue
+			}
+			part := m.closePart(rest, cut.First, cut.Last)
+			if cut.Last < h.Last {
+				rest = m.holdingOf(cut.Last + 1)
+			}
+			parts = append(parts, part)
+			to = append(to, takers[j].Member)
+		}
+	}
+	return parts, to
+}
+
+// Leave passes this member's keys on, lets requests under way end, and takes
+// its entry out of the directory. It reports whether all that was done before
+// ctx ended.
+func (m *Mesh) Leave(ctx context.Context) bool {
+	m.mu.Lock()
+	m.leaving = true
+	m.notify()
+	m.mu.Unlock()
+	m.log.Info("leaving")
+	for m.hasKeysToPass(ctx) {
+		time.Sleep(leavePoll)
+	}
+	for {
+		load := m.limiter.Load()
+		if load.InFlight == 0 && load.Queued == 0 {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	err := m.commit("leave", func(dir *directory.Directory) []directory.Entry {
+		me := dir.Member(m.cfg.Self)
+		if me == nil || len(dir.OwnedBy(m.cfg.Self)) > 0 {
+			return nil
+		}
+		return []directory.Entry{me.Drop()}
+	})
+	return err == nil
+}
+
+// leavePoll is how often a leaving daemon looks whether its keys are passed on.
+const leavePoll = 10 * time.Millisecond
+
+// hasKeysToPass passes on what this member has, and reports whether there is
+// more to wait for.
+func (m *Mesh) hasKeysToPass(ctx context.Context) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if ctx.Err() != nil || len(m.holdings) == 0 || !m.divided() {
+		return false
+	}
+	m.draining = true
+	m.evacuate()
+	return m.moving || m.draining
+}
--- /dev/null
+++ b/io/mesh/peers.go
@@ -0,0 +1,62 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+
+	"siskinknot/core/outcome"
+	"siskinknot/core/request"
+	"siskinknot/io/forward"
+	"siskinknot/io/peer"
+	"siskinknot/io/peer/peerpb"
+)
+
+// Answer implements peer.Handler.
+func (m *Mesh) Answer(ctx context.Context, call *peerpb.Call) *peerpb.Reply {
+	switch kind := call.Kind.(type) {
+	case *peerpb.Call_Heartbeat:
+		return m.answerHeartbeat(kind.Heartbeat)
+	case *peerpb.Call_Update:
+		return m.answerUpdate(kind.Update)
+	case *peerpb.Call_Snapshot:
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return &peerpb.Reply{NextOffset: m.dir.End(), Update: toUpdate(m.dir.Snapshot())}
+	case *peerpb.Call_Yield:
+		return m.answerYield(kind.Yield)
+	case *peerpb.Call_Relay:
+		return m.answerRelay(ctx, kind.Relay)
+	case *peerpb.Call_FetchConfig:
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return &peerpb.Reply{Config: m.document}
+	case *peerpb.Call_Heard:
+		return m.answerHeard(kind.Heard)
+	default:
+		return &peerpb.Reply{Error: fmt.Sprintf("call %T is not served here", kind)}
+	}
+}
+
+// Forward implements peer.Handler.
+func (m *Mesh) Forward(ctx context.Context, in *peer.Incoming) {
+	forward.Serve(ctx, in, func(ctx context.Context, head *request.Head, ex forward.Exchange) outcome.Result {
+		return m.run(ctx, head, ex)
+	})
+}
+
+// fetchConfig takes the configuration from another daemon.
+func (m *Mesh) fetchConfig(addr netip.AddrPort) {
+	ctx, cancel := m.timeout(peerTimeout)
+	defer cancel()
+	reply, err := m.pool.Ask(ctx, addr, &peerpb.Call{Kind: &peerpb.Call_FetchConfig{FetchConfig: &peerpb.FetchConfig{}}})
+	if err != nil || len(reply.Config) == 0 {
+		return
+	}
+	table, err := m.decodeConfig(reply.Config)
+	if err != nil {
+		m.log.Warn("configuration of a peer is not valid", "peer", addr, "error", err)
+		return
+	}
+	m.Configure(table, reply.Config)
+}
--- /dev/null
+++ b/io/mesh/sync.go
@@ -0,0 +1,317 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"siskinknot/core/directory"
+	"siskinknot/io/boottime"
+	"siskinknot/io/peer/peerpb"
+)
+
+// Store is the platform's metadata store, as far as it holds the directory.
+type Store interface {
+	// Read returns the whole directory as it was at some time after the call.
+	Read(ctx context.Context) (directory.Update, error)
+	// Append makes the changes of u if the directory ends at u.Base, and returns
+	// where it ends then. The error is a Conflict if it ended elsewhere, and
+	// ErrNotDone if nothing was done; after any other error the changes may be
+	// made, at once or later.
+	Append(ctx context.Context, u directory.Update) (uint64, error)
+}
+
+// Conflict is the error of an Append whose condition did not hold.
+type Conflict struct {
+	// End is where the directory ends.
+	End uint64
+}
+
+// Error implements error.
+func (*Conflict) Error() string { return "the directory has moved on" }
+
+// ErrNotDone is the error of an Append that certainly did nothing.
+var ErrNotDone = errors.New("the store did not take the call")
+
+var (
+	errStoreAway = errors.New("neither the store nor a peer that reaches it answers")
+	errContended = errors.New("others changed the directory each time")
+)
+
+const (
+	// storeTimeout bounds a call to the store. In ordinary times it takes a few
+	// milliseconds; in slow ones some hundreds.
+	storeTimeout = 700 * time.Millisecond
+	// peerTimeout bounds a control call to another daemon.
+	peerTimeout = 250 * time.Millisecond
+	// relayTimeout bounds a call to the store through another daemon.
+	relayTimeout = storeTimeout + peerTimeout
+	// relayPeers is how many daemons are asked, one after the other.
+	relayPeers = 3
+	// commitTries bounds the tries of a change that meets other changes.
+	commitTries = 12
+)
+
+// refresh reads the directory from the store, or through a daemon that reaches
+// it, and reports whether that succeeded.
+func (m *Mesh) refresh() bool {
+	sentAt := boottime.Now()
+	u, err := m.readStore()
+	if err != nil {
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.apply(boottime.Now(), u)
+	m.book.ReadStore(sentAt)
+	if !m.loaded {
+		m.loaded = true
+		m.log.Info("directory read", "version", m.dir.End(), "members", len(m.dir.Members()))
+	}
+	return true
+}
+
+// readStore reads the directory directly or through a peer.
+func (m *Mesh) readStore() (directory.Update, error) {
+	ctx, cancel := m.timeout(storeTimeout)
+	u, err := m.store.Read(ctx)
+	cancel()
+	m.metrics.storeReads.Inc(1)
+	m.noteStore(err)
+	if err == nil {
+		return u, nil
+	}
+	for _, addr := range m.relays() {
+		ctx, cancel := m.timeout(relayTimeout)
+		reply, err := m.pool.Ask(ctx, addr, &peerpb.Call{Kind: &peerpb.Call_Relay{Relay: &peerpb.Relay{}}})
+		cancel()
+		if err == nil && reply.Granted {
+			return fromUpdate(reply.Update), nil
+		}
+	}
+	return directory.Update{}, errStoreAway
+}
+
+// appendStore appends directly or, if the store did not take the call, through
+// a peer. Trying again is harmless: at most one append on a version succeeds.
+func (m *Mesh) appendStore(u directory.Update) (uint64, error) {
+	ctx, cancel := m.timeout(storeTimeout)
+	end, err := m.store.Append(ctx, u)
+	cancel()
+	m.metrics.storeAppends.Inc(1)
+	var conflict *Conflict
+	if err == nil || errors.As(err, &conflict) {
+		m.noteStore(nil)
+		return end, err
+	}
+	m.noteStore(err)
+	notDone := errors.Is(err, ErrNotDone)
+	for _, addr := range m.relays() {
+		ctx, cancel := m.timeout(relayTimeout)
+		reply, askErr := m.pool.Ask(ctx, addr, &peerpb.Call{Kind: &peerpb.Call_Relay{Relay: &peerpb.Relay{Append: toUpdate(u)}}})
+		cancel()
+		switch {
+		case askErr != nil:
+			notDone = false
+		case reply.Granted:
+			return reply.NextOffset, nil
+		case reply.Conflict:
+			return 0, &Conflict{End: reply.NextOffset}
+		}
+	}
+	if notDone {
+		return 0, ErrNotDone
+	}
+	return 0, err
+}
+
+// noteStore logs when the store is lost or regained.
+func (m *Mesh) noteStore(err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if ok := err == nil; ok != m.storeOK {
+		m.storeOK = ok
+		if ok {
+			m.log.Info("store answers again")
+		} else {
+			m.log.Warn("store does not answer", "error", err)
+		}
+	}
+}
+
+// relays returns daemons that may reach the store, in random order.
+func (m *Mesh) relays() []netip.AddrPort {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := boottime.Now()
+	var list []netip.AddrPort
+	for addr, at := range m.contacts {
+		if now.Sub(at) < 2*time.Second {
+			list = append(list, addr)
+		}
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(len(list), relayPeers)]
+}
+
+// answerRelay calls the store for another daemon.
+func (m *Mesh) answerRelay(ctx context.Context, relay *peerpb.Relay) *peerpb.Reply {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if relay.Append == nil {
+		u, err := m.store.Read(ctx)
+		if err != nil {
+			return &peerpb.Reply{}
+		}
+		return &peerpb.Reply{Granted: true, NextOffset: u.End, Update: toUpdate(u)}
+	}
+	end, err := m.store.Append(ctx, fromUpdate(relay.Append))
+	var conflict *Conflict
+	switch {
+	case err == nil:
+		return &peerpb.Reply{Granted: true, NextOffset: end}
+	case errors.As(err, &conflict):
+		return &peerpb.Reply{Conflict: true, NextOffset: conflict.End}
+	default:
+		return &peerpb.Reply{}
+	}
+}
+
+// apply brings the directory up to date and follows what changed. The caller
+// holds the mutex.
+func (m *Mesh) apply(now time.Time, u directory.Update) bool {
+	if !m.dir.Apply(u) {
+		return false
+	}
+	m.book.Observe(now, m.dir)
+	m.syncHoldings()
+	m.notify()
+	return true
+}
+
+// commit changes the directory: build returns the entries of the change, given
+// the directory as it is, or none if there is nothing to do any more. It is
+// called again if others changed the directory meanwhile, and after a call
+// whose fate is not known, so it has to see what it did itself.
+func (m *Mesh) commit(what string, build func(*directory.Directory) []directory.Entry) error {
+	m.committing.Lock()
+	defer m.committing.Unlock()
+	for try := range commitTries {
+		if !m.tomb.Alive() {
+			return tombDying
+		}
+		m.mu.Lock()
+		entries := build(m.dir)
+		u := directory.Update{Base: m.dir.End(), Entries: entries}
+		m.mu.Unlock()
+		if len(entries) == 0 {
+			return nil
+		}
+		end, err := m.appendStore(u)
+		if err == nil {
+			u.End = end
+			m.committed(what, u)
+			continue
+		}
+		var conflict *Conflict
+		if !errors.As(err, &conflict) && errors.Is(err, ErrNotDone) {
+			return err
+		}
+		time.Sleep(rand.N(time.Duration(1+try) * 4 * time.Millisecond))
+		if !m.refresh() && !errors.As(err, &conflict) {
+			return err
+		}
+	}
+	return errContended
+}
+
+// tombDying is the error of a change that the end of the daemon cut short.
+var tombDying = errors.New("the daemon ends")
+
+// committed follows a change that this daemon made, and tells the others.
+func (m *Mesh) committed(what string, u directory.Update) {
+	m.mu.Lock()
+	m.apply(boottime.Now(), u)
+	m.mu.Unlock()
+	m.log.Info("directory changed", "what", what, "base", u.Base, "version", u.End, "entries", len(u.Entries))
+	for _, addr := range m.others() {
+		go m.tell(addr, u)
+	}
+}
+
+// others returns the addresses of all other members.
+func (m *Mesh) others() []netip.AddrPort {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var list []netip.AddrPort
+	for _, member := range m.dir.Members() {
+		if member.Address != m.cfg.Self {
+			list = append(list, member.Address)
+		}
+	}
+	return list
+}
+
+// tell passes a change on to another daemon.
+func (m *Mesh) tell(addr netip.AddrPort, u directory.Update) {
+	ctx, cancel := m.timeout(peerTimeout)
+	defer cancel()
+	reply, err := m.pool.Ask(ctx, addr, &peerpb.Call{Kind: &peerpb.Call_Update{Update: toUpdate(u)}})
+	if err != nil {
+		return // the heartbeats bring it there
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.book.Confirmed(boottime.Now(), addr, reply.NextOffset)
+}
+
+// answerUpdate applies a change that another daemon made. One that does not
+// continue this directory is asked for as a whole when heartbeats show it.
+func (m *Mesh) answerUpdate(update *peerpb.Update) *peerpb.Reply {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.apply(boottime.Now(), fromUpdate(update))
+	return &peerpb.Reply{Granted: true, NextOffset: m.dir.End()}
+}
+
+// fetch takes the directory and the configuration from a daemon that has later
+// ones.
+func (m *Mesh) fetch(addr netip.AddrPort, end, version uint64) {
+	m.mu.Lock()
+	needDir := end > m.dir.End()
+	needConfig := m.table == nil || version > m.table.Version
+	m.mu.Unlock()
+	if needDir {
+		ctx, cancel := m.timeout(peerTimeout)
+		reply, err := m.pool.Ask(ctx, addr, &peerpb.Call{Kind: &peerpb.Call_Snapshot{Snapshot: &peerpb.Snapshot{}}})
+		cancel()
+		if err == nil && reply.Update != nil {
+			m.mu.Lock()
+			m.apply(boottime.Now(), fromUpdate(reply.Update))
+			m.mu.Unlock()
+		}
+	}
+	if needConfig && version > 0 {
+		m.fetchConfig(addr)
+	}
+}
+
+// toUpdate returns u in the form of the protocol.
+func toUpdate(u directory.Update) *peerpb.Update {
+	msg := &peerpb.Update{Base: u.Base, End: u.End, Entries: make([]*peerpb.DirectoryEntry, 0, len(u.Entries))}
+	for _, e := range u.Entries {
+		msg.Entries = append(msg.Entries, &peerpb.DirectoryEntry{Key: e.Key, Value: e.Value})
+	}
+	return msg
+}
+
+// fromUpdate returns the update of a message.
+func fromUpdate(msg *peerpb.Update) directory.Update {
+	u := directory.Update{Base: msg.GetBase(), End: msg.GetEnd()}
+	for _, e := range msg.GetEntries() {
+		u.Entries = append(u.Entries, directory.Entry{Key: e.Key, Value: e.Value})
+	}
+	return u
+}
