Keep callers' leaving visible, stop in time, and settle unknown changes

(2) Keys are passed on in half of the limit; then the listener closes and what was taken ends. (3) A release waits until unanswered grants have run out; a change whose fate is unknown is settled by another on the same version.

--- a/cmd/siskinknot/mesh.go
+++ b/cmd/siskinknot/mesh.go
@@ -187,21 +187,28 @@
 	// moveOnTime is how long callers are given to notice that this daemon is not
 	// ready: two questions a second apart, and the requests between them.
 	moveOnTime = 2200 * time.Millisecond
+	// leaveShare is the share of the shutdown limit in which keys are passed on;
+	// the rest is for the requests that were taken until then.
+	leaveShare = 0.5
 	// stopReserve is what is left of the shutdown limit for closing.
-	stopReserve = 500 * time.Millisecond
+	stopReserve = 400 * time.Millisecond
 )
 
 // stop ends the daemon in good order and reports whether nothing was cut off.
 func (n *node) stop(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, seconds(n.cfg.ShutdownLimitS)-stopReserve)
+	limit := seconds(n.cfg.ShutdownLimitS)
+	ctx, cancel := context.WithTimeout(ctx, limit-stopReserve)
 	defer cancel()
+	leaveCtx, cancelLeave := context.WithTimeout(ctx, time.Duration(float64(limit)*leaveShare))
+	defer cancelLeave()
 	moveOn := time.After(moveOnTime)
-	left := n.mesh.Leave(ctx)
+	left := n.mesh.Leave(leaveCtx)
 	select {
 	case <-moveOn:
-	case <-ctx.Done():
+	case <-leaveCtx.Done():
 	}
 	err := n.callers.Shutdown(ctx)
+	idle := n.mesh.Finish(ctx)
 	for _, server := range n.servers {
 		_ = server.Close()
 	}
@@ -210,7 +217,7 @@
 	_ = n.peers.Close()
 	_ = n.pool.Close()
 	n.target.Close()
-	return left && err == nil
+	return left && idle && err == nil
 }
 
 // listen opens a socket at addr.
--- a/io/mesh/entry.go
+++ b/io/mesh/entry.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"math/rand/v2"
@@ -19,6 +20,7 @@
 	"siskinknot/core/routing"
 	"siskinknot/io/boottime"
 	"siskinknot/io/forward"
+	"siskinknot/io/peer"
 )
 
 const (
@@ -55,10 +57,32 @@
 	// the caller waits from then on.
 	Received      time.Time
 	Left          time.Duration
-	Body          *forward.Body
+	Body          Body
 	ContentLength int64
 }
 
+// Body is the body of a request.
+type Body struct {
+	// Data is the whole body, which can be sent more than once; nil if the body
+	// is read from Stream instead.
+	Data   []byte
+	Stream io.Reader
+	// Abort ends a Read of Stream that is under way.
+	Abort func()
+}
+
+// attempt returns the body for one attempt.
+func (b *Body) attempt() *forward.Body {
+	switch {
+	case b.Data == nil:
+		return &forward.Body{Stream: b.Stream, Abort: b.Abort}
+	case len(b.Data) <= peer.InlineBytes:
+		return &forward.Body{Inline: b.Data, IsInline: true}
+	default:
+		return &forward.Body{Stream: bytes.NewReader(b.Data), Abort: func() {}}
+	}
+}
+
 // Refused is the outcome of a request that no route allows.
 type Refused struct {
 	outcome.NotRun
@@ -99,6 +123,8 @@
 	tries   int
 	tried   []netip.AddrPort
 	divided bool
+	// spent is set once a body that cannot be read twice has been taken.
+	spent bool
 }
 
 // Serve runs a caller's request and passes the answer to sink. The result is an
@@ -176,7 +202,7 @@
 		changed := m.changed
 		m.mu.Unlock()
 		res := m.once(ctx, c)
-		if c.sink.Started() || c.req.Body.Taken {
+		if c.sink.Started() || c.spent {
 			return res
 		}
 		now := boottime.Now()
@@ -300,10 +326,12 @@
 
 // to sends a request to the daemon at addr, or runs it here.
 func (m *Mesh) to(ctx context.Context, addr netip.AddrPort, c *call) outcome.Result {
+	body := c.req.Body.attempt()
+	defer func() { c.spent = body.Taken && c.req.Body.Data == nil }()
 	if addr == m.cfg.Self {
-		return m.run(ctx, c.head, &localExchange{Sink: c.sink, body: c.req.Body})
+		return m.run(ctx, c.head, &localExchange{Sink: c.sink, body: body})
 	}
-	return forward.Send(ctx, m.pool, addr, c.head, c.req.Body, c.sink)
+	return forward.Send(ctx, m.pool, addr, c.head, body, c.sink)
 }
 
 // localExchange serves a request whose target is beside the entry.
--- a/io/mesh/gate.go
+++ b/io/mesh/gate.go
@@ -81,6 +81,8 @@
 		return 0, false, outcome.NotRun{Reason: outcome.NotOwner}
 	case t.Instance == "" || t.down:
 		return 0, false, outcome.NotRun{Reason: outcome.Unreachable}
+	case m.finishing:
+		return 0, false, outcome.NotRun{Reason: outcome.Draining}
 	}
 	divided = m.divided()
 	if refusal := m.leavingRefuses(now, divided); refusal != nil || !divided {
--- a/io/mesh/heartbeat.go
+++ b/io/mesh/heartbeat.go
@@ -35,7 +35,7 @@
 		m.mu.Lock()
 		load := m.ownLoad(now)
 		me := m.dir.Member(m.cfg.Self)
-		msg := &peerpb.Heartbeat{From: m.cfg.Self.String(), DirectoryEnd: m.dir.End(), Load: load}
+		msg := &peerpb.Heartbeat{From: m.cfg.Self.String(), DirectoryEnd: m.dir.End(), Load: load, StoreOk: m.storeOK}
 		if m.table != nil {
 			msg.ConfigVersion = m.table.Version
 		}
@@ -71,6 +71,7 @@
 		DirectoryEnd:  msg.DirectoryEnd,
 		ConfigVersion: msg.ConfigVersion,
 		Load:          msg.Load,
+		StoreOk:       msg.StoreOk,
 		Renew:         renew,
 	}
 	ctx, cancel := m.timeout(peerTimeout)
@@ -82,7 +83,6 @@
 	}
 	now := boottime.Now()
 	m.mu.Lock()
-	m.contacts[addr] = now
 	m.book.Confirmed(now, addr, reply.NextOffset)
 	if renew && reply.Granted {
 		m.book.Granted(now, sentAt, addr)
@@ -105,7 +105,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.book.Heard(now, from)
-	m.contacts[from] = now
+	m.contacts[from] = contact{at: now, storeOK: hb.StoreOk}
 	m.noteReport(now, from, hb.Load)
 	m.book.Confirmed(now, from, hb.DirectoryEnd)
 	reply := &peerpb.Reply{NextOffset: m.dir.End()}
--- a/io/mesh/hold.go
+++ b/io/mesh/hold.go
@@ -31,8 +31,10 @@
 	// mayHoldUntil is when the target has surely ceased to hold the keys if
 	// nothing more is sent.
 	mayHoldUntil time.Time
-	// calling is set while a grant is under way.
-	calling bool
+	// calling is set while a grant is under way, and unansweredUntil is when the
+	// last grant without an answer has surely run out, if it is applied late.
+	calling         bool
+	unansweredUntil time.Time
 	// closing is set once the keys are on their way to another owner.
 	closing bool
 }
@@ -185,6 +187,7 @@
 		m.log.Warn("target has seen a higher fence", "first", a.First, "last", a.Last, "fence", a.Fence)
 	case GrantUnknown:
 		h.granted = h.granted && now.Before(h.grantedUntil)
+		h.unansweredUntil = h.mayHoldUntil
 	case GrantDown:
 	}
 	m.mu.Unlock()
@@ -221,22 +224,27 @@
 		return "", true
 	}
 	handover, err := m.out.Release(ctx, h.Assignment)
-	if err == nil {
-		m.mu.Lock()
-		h.granted = false
-		m.mu.Unlock()
-		return handover, true
+	if err != nil && ctx.Err() == nil {
+		handover, err = m.out.Release(ctx, h.Assignment)
 	}
-	m.log.Warn("target did not release keys", "first", h.First, "last", h.Last, "fence", h.Fence, "error", err)
-	return "", m.lapse(h)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err != nil {
+		m.log.Warn("target did not release keys", "first", h.First, "last", h.Last, "fence", h.Fence, "error", err)
+		return "", m.lapse(h.mayHoldUntil)
+	}
+	h.granted = false
+	// A grant that has not been answered may be applied after the release.
+	return handover, m.lapse(h.unansweredUntil)
 }
 
-// lapse waits until the target has surely ceased to hold h.
-func (m *Mesh) lapse(h *holding) bool {
+// lapse waits until the clock reads until, and reports false if the daemon ends
+// first. The caller holds the mutex, which is released meanwhile.
+func (m *Mesh) lapse(until time.Time) bool {
+	m.mu.Unlock()
+	defer m.mu.Lock()
 	for {
-		m.mu.Lock()
-		left := h.mayHoldUntil.Sub(boottime.Now())
-		m.mu.Unlock()
+		left := until.Sub(boottime.Now())
 		if left <= 0 {
 			return true
 		}
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -118,6 +118,13 @@
 	ColdFor time.Duration
 }
 
+// contact is a daemon that has called.
+type contact struct {
+	at time.Time
+	// storeOK is set if its own calls to the store succeed.
+	storeOK bool
+}
+
 // target is what is known of the target beside this daemon.
 type target struct {
 	TargetState
@@ -161,15 +168,18 @@
 	// document is the configuration as the operator published it.
 	document []byte
 	loaded   bool
-	leaving  bool
-	target   target
-	holdings []*holding
-	heat     *placement.Heat
-	demand   demand
-	loads    map[netip.AddrPort]report
-	// contacts are the daemons that have called, for when the directory cannot
-	// be read.
-	contacts map[netip.AddrPort]time.Time
+	// leaving is set once this daemon is to stop, and finishing once its target
+	// gets no more requests.
+	leaving   bool
+	finishing bool
+	target    target
+	holdings  []*holding
+	heat      *placement.Heat
+	demand    demand
+	loads     map[netip.AddrPort]report
+	// contacts are the daemons that have called: one of them may reach the store
+	// when this one does not.
+	contacts map[netip.AddrPort]contact
 	choosers choosers
 	storeOK  bool
 	// moving is set while keys are passed on, and draining while no grant may
@@ -196,7 +206,7 @@
 		wake:     make(chan struct{}, 1),
 		heat:     placement.NewHeat(now),
 		loads:    map[netip.AddrPort]report{},
-		contacts: map[netip.AddrPort]time.Time{},
+		contacts: map[netip.AddrPort]contact{},
 		choosers: newChoosers(),
 		storeOK:  true,
 
--- a/io/mesh/move.go
+++ b/io/mesh/move.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"net/netip"
 	"slices"
 	"time"
@@ -131,20 +132,17 @@
 	m.logIf("move", err)
 	m.log.Info("keys passed on", "first", h.First, "last", h.Last, "to", to, "warm", handover != "",
 		"release_ms", released.Sub(started).Milliseconds(), "write_ms", boottime.Now().Sub(released).Milliseconds())
+	var open *undecided
+	if errors.As(err, &open) {
+		m.settle(open.base)
+	}
 	if err != nil {
 		m.reopen(h)
 	}
 }
 
 // reopen lets this member serve the keys of h again, if they are still its own.
-// A change whose fate is not known keeps them closed until it is.
 func (m *Mesh) reopen(h *holding) {
-	for m.tomb.Alive() && !m.refresh() {
-		select {
-		case <-m.tomb.Dying():
-		case <-time.After(retryRead):
-		}
-	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	h.closing, h.granted = false, false
@@ -228,9 +226,8 @@
 	return parts, to
 }
 
-// Leave passes this member's keys on, lets requests under way end, and takes
-// its entry out of the directory. It reports whether all that was done before
-// ctx ended.
+// Leave passes this member's keys on and takes its entry out of the directory. It
+// reports whether that was done before ctx ended. Requests are served meanwhile.
 func (m *Mesh) Leave(ctx context.Context) bool {
 	m.mu.Lock()
 	m.leaving = true
@@ -240,16 +237,8 @@
 	for m.hasKeysToPass(ctx) {
 		time.Sleep(leavePoll)
 	}
-	for {
-		load := m.limiter.Load()
-		if load.InFlight == 0 && load.Queued == 0 {
-			break
-		}
-		select {
-		case <-ctx.Done():
-			return false
-		case <-time.After(10 * time.Millisecond):
-		}
+	if ctx.Err() != nil {
+		return false
 	}
 	err := m.commit("leave", func(dir *directory.Directory) []directory.Entry {
 		me := dir.Member(m.cfg.Self)
@@ -261,6 +250,25 @@
 	return err == nil
 }
 
+// Finish refuses further requests for this daemon's target and waits until those
+// under way have ended. It reports false if ctx ends first.
+func (m *Mesh) Finish(ctx context.Context) bool {
+	m.mu.Lock()
+	m.finishing = true
+	m.mu.Unlock()
+	for {
+		load := m.limiter.Load()
+		if load.InFlight == 0 && load.Queued == 0 {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(leavePoll):
+		}
+	}
+}
+
 // leavePoll is how often a leaving daemon looks whether its keys are passed on.
 const leavePoll = 10 * time.Millisecond
 
--- a/io/mesh/sync.go
+++ b/io/mesh/sync.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"time"
@@ -38,6 +39,7 @@
 var (
 	errStoreAway = errors.New("neither the store nor a peer that reaches it answers")
 	errContended = errors.New("others changed the directory each time")
+	errEnding    = errors.New("the daemon ends")
 )
 
 const (
@@ -48,8 +50,10 @@
 	peerTimeout = 250 * time.Millisecond
 	// relayTimeout bounds a call to the store through another daemon.
 	relayTimeout = storeTimeout + peerTimeout
-	// relayPeers is how many daemons are asked, one after the other.
-	relayPeers = 3
+	// relayPeers is how many daemons are asked, one after the other, and
+	// contactLimit how recently they must have said that they reach the store.
+	relayPeers   = 2
+	contactLimit = 1500 * time.Millisecond
 	// commitTries bounds the tries of a change that meets other changes.
 	commitTries = 12
 )
@@ -147,8 +151,8 @@
 	defer m.mu.Unlock()
 	now := boottime.Now()
 	var list []netip.AddrPort
-	for addr, at := range m.contacts {
-		if now.Sub(at) < 2*time.Second {
+	for addr, c := range m.contacts {
+		if c.storeOK && now.Sub(c.at) < contactLimit {
 			list = append(list, addr)
 		}
 	}
@@ -191,16 +195,38 @@
 	return true
 }
 
+// undecided is the error of a change that may yet be made: it is conditional on
+// the version base, and the directory is not known to have left that.
+type undecided struct {
+	base  uint64
+	cause error
+}
+
+// Error implements error.
+func (e *undecided) Error() string {
+	return fmt.Sprintf("a change at version %d may yet be made: %v", e.base, e.cause)
+}
+
 // commit changes the directory: build returns the entries of the change, given
 // the directory as it is, or none if there is nothing to do any more. It is
 // called again if others changed the directory meanwhile, and after a call
-// whose fate is not known, so it has to see what it did itself.
+// whose fate is not known, so it has to see what it did itself. The error is
+// undecided if the change may be made later.
 func (m *Mesh) commit(what string, build func(*directory.Directory) []directory.Entry) error {
 	m.committing.Lock()
 	defer m.committing.Unlock()
+	open := &undecided{}
+	failed := func(err error) error {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if open.cause == nil || m.dir.End() > open.base {
+			return err
+		}
+		return open
+	}
 	for try := range commitTries {
 		if !m.tomb.Alive() {
-			return tombDying
+			return failed(errEnding)
 		}
 		m.mu.Lock()
 		entries := build(m.dir)
@@ -210,25 +236,46 @@
 			return nil
 		}
 		end, err := m.appendStore(u)
-		if err == nil {
+		var conflict *Conflict
+		switch {
+		case err == nil:
 			u.End = end
 			m.committed(what, u)
 			continue
-		}
-		var conflict *Conflict
-		if !errors.As(err, &conflict) && errors.Is(err, ErrNotDone) {
-			return err
+		case errors.As(err, &conflict):
+		case errors.Is(err, ErrNotDone):
+			return failed(err)
+		default:
+			*open = undecided{base: u.Base, cause: err}
 		}
 		time.Sleep(rand.N(time.Duration(1+try) * 4 * time.Millisecond))
-		if !m.refresh() && !errors.As(err, &conflict) {
-			return err
+		if !m.refresh() && conflict == nil {
+			return failed(err)
 		}
 	}
-	return errContended
+	return failed(errContended)
 }
 
-// tombDying is the error of a change that the end of the daemon cut short.
-var tombDying = errors.New("the daemon ends")
+// settle makes sure that a change conditional on version base can no longer be
+// made, by making another if need be.
+func (m *Mesh) settle(base uint64) {
+	for m.tomb.Alive() {
+		err := m.commit("settle", func(dir *directory.Directory) []directory.Entry {
+			me := dir.Member(m.cfg.Self)
+			if dir.End() > base || me == nil {
+				return nil
+			}
+			return []directory.Entry{me.Put()}
+		})
+		if err == nil {
+			return
+		}
+		select {
+		case <-m.tomb.Dying():
+		case <-time.After(retryRead):
+		}
+	}
+}
 
 // committed follows a change that this daemon made, and tells the others.
 func (m *Mesh) committed(what string, u directory.Update) {
--- a/io/mesh/tend.go
+++ b/io/mesh/tend.go
@@ -134,9 +134,12 @@
 // holds the mutex.
 func (m *Mesh) guardiansDue(now time.Time) bool {
 	me := m.dir.Member(m.cfg.Self)
-	if me == nil || me.State != directory.Active || m.book.Changing() {
+	if me == nil || me.State != directory.Active {
 		return false
 	}
+	if m.book.Changing() {
+		return true // the fate of the last change has to be known
+	}
 	usable := func(g *directory.Member) bool { return m.usable(now, g) }
 	if len(me.Guardians) == 2 && m.allUsable(me.Guardians, usable) {
 		return false
--- a/io/targetconn/targetconn.go
+++ b/io/targetconn/targetconn.go
@@ -93,7 +93,9 @@
 }
 
 // Error implements error.
-func (e *Error) Error() string { return fmt.Sprintf("exchange with target (sent %t): %v", e.Sent, e.Err) }
+func (e *Error) Error() string {
+	return fmt.Sprintf("exchange with target (sent %t): %v", e.Sent, e.Err)
+}
 
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
