Order requests by what can be in time, read the directory as one, grant only under a lease

(3) A member that had just joined was fenced within 0.5 s, since its former life had been silent. (4) A member of another service that came to a lost member's address kept that one's keys.

Change: (1) no lease, no grant. (2) core/scheduling: ranks by priority, a queue only for what can meet its objective, refusal at once with the time after which there is room. (3) A changed entry starts the clock of silence anew. (4) Keys of another service are dropped at the join. Besides, the directory is read after a known end and brought forward from there, since newest records and end need not be of one moment; small ranges are taken over whole.

--- a/core/request/request.go
+++ b/core/request/request.go
@@ -69,7 +69,12 @@
 	Idempotent bool
 	// Deadline is on the clock of the daemon that holds the Head.
 	Deadline time.Time
-	Method   string
+	// Route, Priority (0 is the highest) and Objective, until when an answer is
+	// worth most, order requests where they have to queue; they may be zero.
+	Route     string
+	Priority  int
+	Objective time.Time
+	Method    string
 	// Path is the escaped path with its query, as the target receives it.
 	Path   string
 	Header http.Header
--- a/core/tenure/tenure.go
+++ b/core/tenure/tenure.go
@@ -221,9 +221,17 @@
 			b.fences[m.Address] = &fence{at: m.FencedAt, learnedAt: now, confirmed: map[netip.AddrPort]time.Time{}}
 		}
 	}
-	for addr := range b.fences {
-		if dir.Member(addr) == nil {
+	for addr, f := range b.fences {
+		m := dir.Member(addr)
+		if m == nil {
 			delete(b.fences, addr)
+			continue
+		}
+		for _, g := range m.Guardians {
+			// Who is no member any more holds nothing, so that it renews nothing.
+			if _, ok := f.confirmed[g]; !ok && dir.Member(g) == nil {
+				f.confirmed[g] = now
+			}
 		}
 	}
 }
--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -147,6 +147,9 @@
 		ContentLength: head.ContentLength,
 		Inline:        body.IsInline,
 		Body:          body.Inline,
+		Route:         head.Route,
+		Priority:      uint32(max(head.Priority, 0)),
+		ObjectiveUs:   head.Objective.Sub(boottime.Now()).Microseconds(),
 	}
 	carrier := propagation.MapCarrier{}
 	otel.GetTextMapPropagator().Inject(ctx, carrier)
--- a/io/forward/serve.go
+++ b/io/forward/serve.go
@@ -54,6 +54,9 @@
 		Path:          fwd.Path,
 		Header:        fromHeaders(fwd.Headers),
 		ContentLength: fwd.ContentLength,
+		Route:         fwd.Route,
+		Priority:      int(fwd.Priority),
+		Objective:     boottime.Now().Add(time.Duration(fwd.ObjectiveUs) * time.Microsecond),
 	}
 }
 
--- a/io/mesh/entry.go
+++ b/io/mesh/entry.go
@@ -180,6 +180,9 @@
 			Class:         class,
 			Idempotent:    route.Kind.Idempotent(),
 			Deadline:      req.Received.Add(min(req.Left, route.Timeout)),
+			Route:         route.Name,
+			Priority:      route.Priority,
+			Objective:     objective(req, route),
 			Method:        req.Method,
 			Path:          req.Target,
 			Header:        req.Header,
@@ -188,6 +191,13 @@
 	}
 }
 
+// objective returns until when an answer to req is worth most: the caller counts
+// from its first attempt, and a later one has less than the route's timeout left.
+func objective(req *Request, route *routing.Route) time.Time {
+	spent := max(0, route.Timeout-req.Left)
+	return req.Received.Add(route.LatencyObjective - spent)
+}
+
 // attempts sends a request until it is answered or may not be sent again.
 func (m *Mesh) attempts(ctx context.Context, c *call) outcome.Result {
 	m.mu.Lock()
@@ -209,6 +219,9 @@
 		if retry.OwnerChanging(res) && now.After(giveUp) {
 			return m.comeBack(c, res)
 		}
+		if c.divided && reasonOf(res) == outcome.Overloaded {
+			return res // there is no other target
+		}
 		pause, again := policy.Next(now, c.head.Deadline, res, c.head.Idempotent, c.tries, m.budget)
 		if !again || ctx.Err() != nil {
 			return m.comeBack(c, res)
--- a/io/mesh/gate.go
+++ b/io/mesh/gate.go
@@ -7,10 +7,10 @@
 	"strconv"
 	"time"
 
-	"siskinknot/core/admission"
 	"siskinknot/core/directory"
 	"siskinknot/core/outcome"
 	"siskinknot/core/request"
+	"siskinknot/core/scheduling"
 	"siskinknot/io/boottime"
 	"siskinknot/io/forward"
 	"siskinknot/io/targetconn"
@@ -44,10 +44,11 @@
 	m.mu.Lock()
 	m.demand.arrived(now, head.Class)
 	m.mu.Unlock()
-	permit, refusal := m.limiter.Acquire(ctx, boottime.Now(), admission.Request{
-		Class:    head.Class,
-		Caller:   head.Caller,
-		Deadline: head.Deadline,
+	permit, refusal := m.scheduler.Acquire(ctx, boottime.Now(), scheduling.Request{
+		Route:     head.Route,
+		Priority:  head.Priority,
+		Objective: head.Objective,
+		Deadline:  head.Deadline,
 	})
 	if refusal != nil {
 		return refusal
@@ -57,7 +58,7 @@
 	res, use := m.admitted(ctx, head, ex, key, divided)
 	ended := boottime.Now()
 	permit.Done(ended, use)
-	if use == admission.Served {
+	if use == scheduling.Served {
 		m.mu.Lock()
 		m.demand.served(head.Class, ended.Sub(started))
 		if divided {
@@ -157,7 +158,7 @@
 
 // admitted hands a request that holds a slot to the target, if the target holds
 // its key at this moment.
-func (m *Mesh) admitted(ctx context.Context, head *request.Head, ex forward.Exchange, key uint16, divided bool) (outcome.Result, admission.Use) {
+func (m *Mesh) admitted(ctx context.Context, head *request.Head, ex forward.Exchange, key uint16, divided bool) (outcome.Result, scheduling.Use) {
 	now := boottime.Now()
 	m.mu.Lock()
 	refusal := m.leavingRefuses(now, divided)
@@ -168,30 +169,30 @@
 	m.mu.Unlock()
 	switch {
 	case refusal != nil:
-		return refusal, admission.Unused
+		return refusal, scheduling.Unused
 	case !now.Before(head.Deadline):
-		return outcome.NotRun{Reason: outcome.DeadlinePast}, admission.Unused
+		return outcome.NotRun{Reason: outcome.DeadlinePast}, scheduling.Unused
 	}
 	body, err := ex.Body()
 	if err != nil {
-		return outcome.NotRun{Reason: outcome.Cancelled}, admission.Unused
+		return outcome.NotRun{Reason: outcome.Cancelled}, scheduling.Unused
 	}
 	resp, res := m.out.Send(ctx, head, body, instance)
 	if res != nil {
 		return m.failed(res, key, divided)
 	}
-	return m.deliver(resp, ex), admission.Served
+	return m.deliver(resp, ex), scheduling.Served
 }
 
 // failed follows a request without an answer.
-func (m *Mesh) failed(res outcome.Result, key uint16, divided bool) (outcome.Result, admission.Use) {
+func (m *Mesh) failed(res outcome.Result, key uint16, divided bool) (outcome.Result, scheduling.Use) {
 	notRun, ok := res.(outcome.NotRun)
 	if !ok {
-		return res, admission.Served
+		return res, scheduling.Served
 	}
 	switch notRun.Reason {
 	case outcome.Shed:
-		return res, admission.Shed
+		return res, scheduling.Shed
 	case outcome.Fenced:
 		// The target does not hold the key: its grant is made anew.
 		m.mu.Lock()
@@ -204,7 +205,7 @@
 		m.targetDown()
 	default:
 	}
-	return res, admission.Unused
+	return res, scheduling.Unused
 }
 
 // deliver passes an answer on.
--- a/io/mesh/guard.go
+++ b/io/mesh/guard.go
@@ -202,10 +202,11 @@
 	if len(takers) == 0 {
 		return entries // the planner spreads them once there is somebody
 	}
-	for i, a := range dir.OwnedBy(addr) {
-		entries = append(entries, m.spread(dir, *a, rotate(takers, i))...)
+	var ranges []directory.Assignment
+	for _, a := range dir.OwnedBy(addr) {
+		ranges = append(ranges, *a)
 	}
-	return entries
+	return append(entries, spread(dir, ranges, takers)...)
 }
 
 // takers returns the members that take keys of a service, but for not, least
@@ -214,15 +215,29 @@
 	return placement.Takers(slices.DeleteFunc(m.loadsOf(now, service), func(l placement.Load) bool { return l.Member == not }))
 }
 
-// spread returns the entries that give a to takers by their room.
-func (m *Mesh) spread(dir *directory.Directory, a directory.Assignment, takers []placement.Load) []directory.Entry {
-	owners := make([]netip.AddrPort, 0, len(takers))
-	weights := make([]float64, 0, len(takers))
-	for _, t := range takers {
-		owners = append(owners, t.Member)
-		weights = append(weights, t.Room())
+// spread returns the entries that give ranges to takers by their room. Wide
+// ranges are cut up, and narrow ones go whole to one after the other: each range
+// is a grant to renew.
+func spread(dir *directory.Directory, ranges []directory.Assignment, takers []placement.Load) []directory.Entry {
+	total := 0
+	for i := range ranges {
+		total += ranges[i].Width()
+	}
+	var entries []directory.Entry
+	for i, a := range ranges {
+		receivers := rotate(takers, i)
+		if a.Width() < total/len(takers) {
+			receivers = receivers[:1]
+		}
+		owners := make([]netip.AddrPort, 0, len(receivers))
+		weights := make([]float64, 0, len(receivers))
+		for _, t := range receivers {
+			owners = append(owners, t.Member)
+			weights = append(weights, t.Room())
+		}
+		entries = append(entries, dir.Spread(a, owners, weights)...)
 	}
-	return dir.Spread(a, owners, weights)
+	return entries
 }
 
 // rotate returns list beginning with its element i.
--- a/io/mesh/heartbeat.go
+++ b/io/mesh/heartbeat.go
@@ -144,14 +144,14 @@
 // ownLoad returns the report of this daemon's target. The caller holds the
 // mutex.
 func (m *Mesh) ownLoad(now time.Time) *peerpb.TargetLoad {
-	load := m.limiter.Load()
+	load := m.scheduler.Load()
 	return &peerpb.TargetLoad{
 		Accepting: m.target.accepting() && !m.leaving,
 		Cold:      now.Before(m.target.coldUntil),
 		Slots:     uint32(max(m.target.Slots, 0)),
 		Demand:    m.demand.perSecond(now),
 		ServiceUs: uint64(m.demand.meanService().Microseconds()),
-		InFlight:  uint32(load.InFlight),
+		InFlight:  uint32(load.Running),
 		Queued:    uint32(load.Queued),
 	}
 }
--- a/io/mesh/hold.go
+++ b/io/mesh/hold.go
@@ -132,7 +132,7 @@
 			continue
 		}
 		h.calling = true
-		go m.grant(h, h.Assignment, hold)
+		go m.grant(h, h.Assignment)
 	}
 }
 
@@ -153,19 +153,29 @@
 }
 
 // grantTime returns how long a grant sent at now may last: no longer than the
-// lease, on the slowest clock. The caller holds the mutex.
+// lease, on the slowest clock; 0 without a lease. The caller holds the mutex.
 func (m *Mesh) grantTime(now time.Time) time.Duration {
 	const transit = 20 * time.Millisecond
-	left := m.book.HeldUntil(m.dir).Sub(now) - transit
-	return min(time.Duration(float64(left)/clockRate), m.cfg.MaxHold)
+	until := m.book.HeldUntil(m.dir).Add(-transit)
+	if !until.After(now) {
+		return 0 // the difference to a zero time would overflow
+	}
+	return min(time.Duration(float64(until.Sub(now))/clockRate), m.cfg.MaxHold)
 }
 
 // grant makes one grant.
-func (m *Mesh) grant(h *holding, a directory.Assignment, hold time.Duration) {
+func (m *Mesh) grant(h *holding, a directory.Assignment) {
 	ctx, cancel := m.timeout(grantTimeout)
 	defer cancel()
-	sentAt := boottime.Now()
 	m.mu.Lock()
+	// Time may have passed since the grant was found to be due.
+	sentAt := boottime.Now()
+	hold := m.grantTime(sentAt)
+	if hold < leastHold {
+		h.calling = false
+		m.mu.Unlock()
+		return
+	}
 	h.mayHoldUntil = later(h.mayHoldUntil, sentAt.Add(grantTimeout+time.Duration(float64(hold)*clockRate)))
 	m.mu.Unlock()
 	res := m.out.Grant(ctx, a, hold)
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -43,13 +43,13 @@
 	"github.com/uber-go/tally/v4"
 	"gopkg.in/tomb.v2"
 
-	"siskinknot/core/admission"
 	"siskinknot/core/directory"
 	"siskinknot/core/outcome"
 	"siskinknot/core/placement"
 	"siskinknot/core/request"
 	"siskinknot/core/retry"
 	"siskinknot/core/routing"
+	"siskinknot/core/scheduling"
 	"siskinknot/core/tenure"
 	"siskinknot/io/boottime"
 	"siskinknot/io/peer"
@@ -150,8 +150,9 @@
 	log     hclog.Logger
 	metrics *metrics
 	tomb    tomb.Tomb
-	limiter *admission.Limiter
 	budget  *retry.Budget
+	// scheduler orders the requests for the target.
+	scheduler *scheduling.Scheduler
 	// decodeConfig reads the operator's document.
 	decodeConfig func([]byte) (*routing.Table, error)
 	// committing is held while a change of the directory is under way.
@@ -160,6 +161,8 @@
 	mu   sync.Mutex
 	dir  *directory.Directory
 	book *tenure.Book
+	// entries are the members' entries as they were last seen.
+	entries map[netip.AddrPort]string
 	// changed is closed and replaced when what requests wait for may have
 	// changed: the directory, or a grant.
 	changed chan struct{}
@@ -192,23 +195,24 @@
 func New(cfg Config, deps Deps) *Mesh {
 	now := boottime.Now()
 	m := &Mesh{
-		cfg:      cfg,
-		store:    deps.Store,
-		out:      deps.Target,
-		pool:     deps.Pool,
-		log:      deps.Logger,
-		metrics:  newMetrics(deps.Metrics),
-		limiter:  admission.New(limitsOf(1)),
-		budget:   retry.NewBudget(0),
-		dir:      directory.New(),
-		book:     tenure.New(cfg.Self),
-		changed:  make(chan struct{}),
-		wake:     make(chan struct{}, 1),
-		heat:     placement.NewHeat(now),
-		loads:    map[netip.AddrPort]report{},
-		contacts: map[netip.AddrPort]contact{},
-		choosers: newChoosers(),
-		storeOK:  true,
+		cfg:       cfg,
+		store:     deps.Store,
+		out:       deps.Target,
+		pool:      deps.Pool,
+		log:       deps.Logger,
+		metrics:   newMetrics(deps.Metrics),
+		scheduler: scheduling.New(1),
+		budget:    retry.NewBudget(0),
+		dir:       directory.New(),
+		book:      tenure.New(cfg.Self),
+		entries:   map[netip.AddrPort]string{},
+		changed:   make(chan struct{}),
+		wake:      make(chan struct{}, 1),
+		heat:      placement.NewHeat(now),
+		loads:     map[netip.AddrPort]report{},
+		contacts:  map[netip.AddrPort]contact{},
+		choosers:  newChoosers(),
+		storeOK:   true,
 
 		decodeConfig: deps.DecodeConfig,
 	}
@@ -301,7 +305,7 @@
 	t.TargetState = state
 	t.heardAt, t.down = now, false
 	t.coldUntil = now.Add(state.ColdFor)
-	m.limiter.SetLimits(limitsOf(state.Slots))
+	m.scheduler.SetSlots(now, state.Slots)
 	m.notify()
 }
 
@@ -332,22 +336,6 @@
 	m.notify()
 }
 
-// limitsOf returns the admission limits of a target with the given slots.
-func limitsOf(slots int) admission.Limits {
-	const (
-		queuePerSlot = 16
-		bulkPercent  = 80
-	)
-	slots = max(1, slots)
-	return admission.Limits{
-		Slots:        slots,
-		Queue:        queuePerSlot * slots,
-		BulkPercent:  bulkPercent,
-		ClassQueues:  true,
-		EarlyRefusal: true,
-	}
-}
-
 // every runs task at intervals until the Mesh ends.
 func (m *Mesh) every(interval time.Duration, task func(now time.Time)) error {
 	ticker := time.NewTicker(interval)
--- a/io/mesh/move.go
+++ b/io/mesh/move.go
@@ -257,8 +257,8 @@
 	m.finishing = true
 	m.mu.Unlock()
 	for {
-		load := m.limiter.Load()
-		if load.InFlight == 0 && load.Queued == 0 {
+		load := m.scheduler.Load()
+		if load.Running == 0 && load.Queued == 0 {
 			return true
 		}
 		select {
--- a/io/mesh/plan.go
+++ b/io/mesh/plan.go
@@ -115,11 +115,7 @@
 	}
 	// By address, so that neighbours in the key space do not depend on load.
 	slices.SortFunc(takers, func(a, b placement.Load) int { return a.Member.Compare(b.Member) })
-	var entries []directory.Entry
-	for i, a := range m.unowned(dir, service) {
-		entries = append(entries, m.spread(dir, a, rotate(takers, i))...)
-	}
-	return entries
+	return spread(dir, m.unowned(dir, service), takers)
 }
 
 // askToYield asks the owner that a move names to pass work on.
--- a/io/mesh/sync.go
+++ b/io/mesh/sync.go
@@ -15,8 +15,10 @@
 
 // Store is the platform's metadata store, as far as it holds the directory.
 type Store interface {
-	// Read returns the whole directory as it was at some time after the call.
-	Read(ctx context.Context) (directory.Update, error)
+	// Read returns what has changed in the directory since version since, as it
+	// was at some time after the call; the whole directory if since is 0. The
+	// error is ErrTrimmed if the changes since then are not kept any more.
+	Read(ctx context.Context, since uint64) (directory.Update, error)
 	// Append makes the changes of u if the directory ends at u.Base, and returns
 	// where it ends then. The error is a Conflict if it ended elsewhere, and
 	// ErrNotDone if nothing was done; after any other error the changes may be
@@ -36,6 +38,9 @@
 // ErrNotDone is the error of an Append that certainly did nothing.
 var ErrNotDone = errors.New("the store did not take the call")
 
+// ErrTrimmed is the error of a Read from before what the store keeps.
+var ErrTrimmed = errors.New("the changes asked for are not kept any more")
+
 var (
 	errStoreAway = errors.New("neither the store nor a peer that reaches it answers")
 	errContended = errors.New("others changed the directory each time")
@@ -58,17 +63,27 @@
 	commitTries = 12
 )
 
-// refresh reads the directory from the store, or through a daemon that reaches
-// it, and reports whether that succeeded.
+// refresh brings the directory up to date from the store, or through a daemon
+// that reaches it, and reports whether that succeeded.
 func (m *Mesh) refresh() bool {
+	m.mu.Lock()
+	since := m.dir.End()
+	m.mu.Unlock()
 	sentAt := boottime.Now()
-	u, err := m.readStore()
+	u, err := m.readStore(since)
+	if errors.Is(err, ErrTrimmed) {
+		sentAt = boottime.Now()
+		u, err = m.readStore(0)
+	}
 	if err != nil {
 		return false
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.apply(boottime.Now(), u)
+	if m.dir.End() < u.End {
+		return false // the directory moved on meanwhile, in a way that u does not continue
+	}
 	m.book.ReadStore(sentAt)
 	if !m.loaded {
 		m.loaded = true
@@ -78,18 +93,22 @@
 }
 
 // readStore reads the directory directly or through a peer.
-func (m *Mesh) readStore() (directory.Update, error) {
+func (m *Mesh) readStore(since uint64) (directory.Update, error) {
 	ctx, cancel := m.timeout(storeTimeout)
-	u, err := m.store.Read(ctx)
+	u, err := m.store.Read(ctx, since)
 	cancel()
 	m.metrics.storeReads.Inc(1)
+	if errors.Is(err, ErrTrimmed) {
+		m.noteStore(nil)
+		return u, err
+	}
 	m.noteStore(err)
 	if err == nil {
 		return u, nil
 	}
 	for _, addr := range m.relays() {
 		ctx, cancel := m.timeout(relayTimeout)
-		reply, err := m.pool.Ask(ctx, addr, &peerpb.Call{Kind: &peerpb.Call_Relay{Relay: &peerpb.Relay{}}})
+		reply, err := m.pool.Ask(ctx, addr, &peerpb.Call{Kind: &peerpb.Call_Relay{Relay: &peerpb.Relay{Since: since}}})
 		cancel()
 		if err == nil && reply.Granted {
 			return fromUpdate(reply.Update), nil
@@ -165,7 +184,10 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	if relay.Append == nil {
-		u, err := m.store.Read(ctx)
+		u, err := m.store.Read(ctx, relay.Since)
+		if errors.Is(err, ErrTrimmed) {
+			u, err = m.store.Read(ctx, 0)
+		}
 		if err != nil {
 			return &peerpb.Reply{}
 		}
@@ -190,13 +212,28 @@
 		return false
 	}
 	m.book.Observe(now, m.dir)
+	m.noteJoins(now)
 	m.syncHoldings()
 	m.notify()
 	return true
 }
 
-// undecided is the error of a change that may yet be made: it is conditional on
-// the version base, and the directory is not known to have left that.
+// noteJoins gives members whose entry has changed the time to send heartbeats:
+// they have just started, or have just named this one as a guardian. The caller
+// holds the mutex.
+func (m *Mesh) noteJoins(now time.Time) {
+	for _, member := range m.dir.Members() {
+		entry := string(member.Put().Value)
+		if m.entries[member.Address] != entry {
+			m.entries[member.Address] = entry
+			m.book.Heard(now, member.Address)
+		}
+	}
+}
+
+// undecided is the error of a change that may yet be made, or may have been made:
+// it is conditional on the version base, and this daemon has not read what
+// followed that.
 type undecided struct {
 	base  uint64
 	cause error
@@ -243,6 +280,8 @@
 			m.committed(what, u)
 			continue
 		case errors.As(err, &conflict):
+			// An earlier try of this change may be what is in the way.
+			*open = undecided{base: max(u.Base, conflict.End-1), cause: err}
 		case errors.Is(err, ErrNotDone):
 			return failed(err)
 		default:
--- a/io/mesh/tend.go
+++ b/io/mesh/tend.go
@@ -119,10 +119,15 @@
 		}
 	}
 	entries := []directory.Entry{want.Put()}
-	if have != nil && have.Instance == want.Instance && have.Born == want.Born {
+	if have != nil && have.Instance == want.Instance && have.Born == want.Born && have.Service == want.Service {
 		return entries
 	}
 	for _, a := range dir.OwnedBy(m.cfg.Self) {
+		if a.Service != m.cfg.Service {
+			// The address had a member of another service, which has ended.
+			entries = append(entries, a.Drop())
+			continue
+		}
 		renewed := *a
 		renewed.Fence, renewed.Handover = dir.Fence(), ""
 		entries = append(entries, renewed.Put())
