--- a/core/tenure/tenure.go
+++ b/core/tenure/tenure.go
@@ -8,11 +8,10 @@
 //
 //   - Holding (Book.HeldUntil). A member holds for Duration from the moment it
 //     sent a request that a guardian granted, or a read of the store that did
-//     not show it fenced; and never longer than BlindLimit after the last such
-//     read.
-//   - Renewing (Book.Renew). A guardian renews while it holds itself, has read
-//     the store since its start, and its directory shows the member active and
-//     itself as a guardian.
+//     not show it fenced; never before its process has read the store, and never
+//     longer than BlindLimit after the last such read.
+//   - Renewing (Book.Renew). A guardian renews while it holds itself and its
+//     directory shows the member active and itself as a guardian.
 //   - Changing guardians (Book.GuardiansSent). Only the member itself names its
 //     guardians. From sending the change until its fate is known it counts no
 //     renewal.
@@ -79,7 +78,7 @@
 	ruleSentAt       rule = 1 << iota // a lease counts from the sending of its request
 	ruleBlindLimit                    // holding ends with BlindLimit
 	ruleRenewHolding                  // a guardian renews only while it holds itself
-	ruleReadFirst                     // a guardian renews only after its own first read
+	ruleReadFirst                     // a process holds only after it has read the store
 	ruleFenceBinds                    // a guardian does not renew a fenced member
 	rulePending                       // no renewal counts while a change of guardians is under way
 	ruleConfirm                       // taking waits for both guardians
@@ -141,14 +140,14 @@
 // dir gives it.
 func (b *Book) HeldUntil(dir *directory.Directory) time.Time {
 	m := dir.Member(b.self)
-	if m == nil || m.State == directory.Fenced || b.readAt.IsZero() {
+	if m == nil || m.State == directory.Fenced || (b.readAt.IsZero() && b.on(ruleReadFirst)) {
 		return time.Time{}
 	}
 	until := b.readAt.Add(Duration)
 	for _, g := range m.Guardians {
 		until = later(until, b.renewed[g].Add(Duration))
 	}
-	if limit := b.readAt.Add(BlindLimit); until.After(limit) && b.on(ruleBlindLimit) {
+	if limit := b.readAt.Add(BlindLimit); until.After(limit) && b.on(ruleBlindLimit) && !b.readAt.IsZero() {
 		return limit
 	}
 	return until
@@ -203,9 +202,6 @@
 	if m.State == directory.Fenced && b.on(ruleFenceBinds) {
 		return false
 	}
-	if b.readAt.IsZero() && b.on(ruleReadFirst) {
-		return false
-	}
 	return b.Holds(now, dir) || !b.on(ruleRenewHolding)
 }
 
