--- a/cmd/siskinknot/mesh.go
+++ b/cmd/siskinknot/mesh.go
@@ -121,7 +121,7 @@
 	if err != nil {
 		return nil, err
 	}
-	store := platform.NewStore(cfg.Store)
+	store := platform.NewStore(cfg.Store, cfg.Daemon.Addr())
 	n.target = platform.NewTarget(cfg.Target)
 	n.pool = peer.NewPool(cfg.Server, cfg.Daemon.Addr(), log.Named("peer"))
 	n.mesh = mesh.New(mesh.Config{
--- a/core/tenure/scenario_test.go
+++ b/core/tenure/scenario_test.go
@@ -134,3 +134,62 @@
 		t.Errorf("keys are free after %v, want at most %v", took, promised)
 	}
 }
+
+// TestConfirmation leaves a guardian without news of a fence.
+func TestConfirmation(t *testing.T) {
+	for _, row := range []struct {
+		name  string
+		off   rule
+		holds bool
+	}{
+		{"in force", 0, false},
+		{"off", ruleConfirm, true},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			m := guarded(row.off, [][]int{{1, 2}, {3, 4}, {3, 4}, {2, 4}, {2, 3}})
+			member, unaware, taker := m.members[0], m.members[1], m.members[2]
+			m.fenceNow(taker, member)
+			deadline := m.now.Add(5 * time.Second)
+			for !taker.book.MayTake(m.now, taker.dir, member.addr) && m.now.Before(deadline) {
+				m.now = m.now.Add(RenewEvery)
+				m.renewNow(unaware, m.members[3])
+				m.renewNow(m.members[3], m.members[4])
+				m.renewNow(m.members[4], m.members[3])
+				m.renewNow(member, unaware)
+			}
+			taken := taker.book.MayTake(m.now, taker.dir, member.addr)
+			if both := taken && member.book.Holds(m.now, member.dir); both != row.holds {
+				t.Errorf("a member that was taken holds: %t, want %t", both, row.holds)
+			}
+		})
+	}
+}
+
+// TestReadFirst restarts a member, which then knows the directory from another
+// that has old news only.
+func TestReadFirst(t *testing.T) {
+	for _, row := range []struct {
+		name  string
+		off   rule
+		holds bool
+	}{
+		{"in force", 0, false},
+		{"off", ruleReadFirst, true},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			m := guarded(row.off, [][]int{{1, 2}, {3, 4}, {3, 4}, {2, 4}, {2, 3}})
+			member, guardian, receiver := m.members[0], m.members[1], m.members[2]
+			// The former process passed its keys on just before it ended.
+			a := m.truth.OwnedBy(member.addr)[0]
+			entries := m.truth.Move(a, []directory.Part{{First: a.First, Last: a.Last, To: receiver.addr}})
+			m.truth.Apply(directory.Update{Base: m.truth.End(), End: m.truth.End() + uint64(len(entries)), Entries: entries})
+			m.readNow(receiver)
+			m.restart(member)
+			m.apply(member, guardian.dir.Snapshot())
+			m.renewNow(member, guardian)
+			if holds := len(m.holders(a.First)) > 1; holds != row.holds {
+				t.Errorf("the key of a former process is held twice: %t, want %t", holds, row.holds)
+			}
+		})
+	}
+}
--- a/core/tenure/tenure.go
+++ b/core/tenure/tenure.go
@@ -19,7 +19,8 @@
 //     its entry is set to Fenced. The keys are free once each guardian has
 //     confirmed that it has applied that change, and Duration has passed since;
 //     a guardian that is itself fenced counts as having confirmed Duration after
-//     its own fence. Without the confirmations the keys are free BlindLimit
+//     its own fence, and one whose process has ended from then on. Without the
+//     confirmations the keys are free BlindLimit
 //     after the fence.
 //   - Returning. A fenced member that still lives may set itself to Active
 //     again: if that succeeds, nobody has taken its keys.
@@ -258,6 +259,17 @@
 	}
 }
 
+// Ended notes that the process of member is known at now to have ended: it renews
+// nothing any more. A later process at its address reads the store first, and so
+// sees the fences that there are.
+func (b *Book) Ended(now time.Time, member netip.AddrPort) {
+	for _, f := range b.fences {
+		if _, ok := f.confirmed[member]; !ok {
+			f.confirmed[member] = now
+		}
+	}
+}
+
 // FencedSince returns when this member learned that member is fenced.
 func (b *Book) FencedSince(member netip.AddrPort) (time.Time, bool) {
 	f := b.fences[member]
--- a/io/mesh/sync.go
+++ b/io/mesh/sync.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"siskinknot/core/directory"
@@ -345,11 +346,15 @@
 	ctx, cancel := m.timeout(peerTimeout)
 	defer cancel()
 	reply, err := m.pool.Ask(ctx, addr, &peerpb.Call{Kind: &peerpb.Call_Update{Update: toUpdate(u)}})
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		// The VM answers and nothing listens: the daemon's process has ended.
+		m.book.Ended(boottime.Now(), addr)
+	}
 	if err != nil {
 		return // the heartbeats bring it there
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	m.book.Confirmed(boottime.Now(), addr, reply.NextOffset)
 }
 
