--- /dev/null
+++ b/core/directory/directory_test.go
@@ -0,0 +1,76 @@
+package directory
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// owner returns the address of a member of the tests.
+func owner(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7400)
+}
+
+// apply makes a change on dir.
+func apply(dir *Directory, entries []Entry) {
+	dir.Apply(Update{Base: dir.End(), End: dir.End() + uint64(len(entries)), Entries: entries})
+}
+
+// TestChangesKeepAllKeys makes random moves and spreads and checks that each key
+// keeps exactly one owner, and that its fence rises when that changes.
+func TestChangesKeepAllKeys(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		dir := New()
+		apply(dir, dir.Spread(dir.Free("s")[0], []netip.AddrPort{owner(1), owner(2)}, []float64{1, rapid.Float64Range(0.1, 9).Draw(t, "weight")}))
+		for range rapid.IntRange(1, 12).Draw(t, "changes") {
+			list := dir.Assignments("s")
+			a := *list[rapid.IntRange(0, len(list)-1).Draw(t, "range")]
+			first := rapid.IntRange(int(a.First), int(a.Last)).Draw(t, "first")
+			last := rapid.IntRange(first, int(a.Last)).Draw(t, "last")
+			to := owner(rapid.IntRange(1, 5).Draw(t, "to"))
+			before := dir.AssignmentOf("s", uint16(first)).Fence
+			apply(dir, dir.Move(&a, []Part{{First: uint16(first), Last: uint16(last), To: to}}))
+			after := dir.AssignmentOf("s", uint16(first))
+			require.Equal(t, to, after.Owner)
+			require.Greater(t, after.Fence, before)
+			require.Empty(t, dir.Free("s"))
+			next := 0
+			for _, part := range dir.Assignments("s") {
+				require.Equal(t, next, int(part.First))
+				next = int(part.Last) + 1
+			}
+			require.Equal(t, MaxKey+1, next)
+		}
+		copied := New()
+		copied.Apply(dir.Snapshot())
+		require.Equal(t, dir.Snapshot(), copied.Snapshot())
+	})
+}
+
+func TestApply(t *testing.T) {
+	member := Member{Address: owner(1), Service: "s", State: Active}
+	for _, row := range []struct {
+		name   string
+		update Update
+		end    uint64
+		member bool
+	}{
+		{"whole", Update{Base: 0, End: 3, Entries: []Entry{member.Put()}}, 3, true},
+		{"next", Update{Base: 2, End: 3, Entries: []Entry{member.Put()}}, 3, true},
+		{"not the next", Update{Base: 3, End: 4, Entries: []Entry{member.Put()}}, 2, false},
+		{"older", Update{Base: 0, End: 1, Entries: []Entry{member.Put()}}, 2, false},
+		{"does not parse", Update{Base: 2, End: 3, Entries: []Entry{{Key: "member/10.0.0.1:7400", Value: []byte("{")}}}, 3, false},
+		{"other address", Update{Base: 2, End: 3, Entries: []Entry{{Key: "member/10.0.0.9:7400", Value: member.Put().Value}}}, 3, false},
+		{"unknown key", Update{Base: 2, End: 3, Entries: []Entry{{Key: "x", Value: []byte("1")}}}, 3, false},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			dir := New()
+			dir.Apply(Update{End: 2})
+			dir.Apply(row.update)
+			require.Equal(t, row.end, dir.End())
+			require.Equal(t, row.member, dir.Member(owner(1)) != nil)
+		})
+	}
+}
--- a/core/tenure/model_test.go
+++ b/core/tenure/model_test.go
@@ -106,18 +106,17 @@
 	}
 }
 
-// commit makes a change that member builds on its directory, and reports whether
-// it was made. The answer may be lost.
-func (m *model) commit(member *modelMember, entries []directory.Entry) bool {
+// commit makes a change that member builds on its directory, if that is the
+// latest. The answer may be lost.
+func (m *model) commit(member *modelMember, entries []directory.Entry) {
 	if len(entries) == 0 || member.storeCut || m.down || member.dir.End() != m.truth.End() {
-		return false
+		return
 	}
 	u := directory.Update{Base: m.truth.End(), End: m.truth.End() + uint64(len(entries)), Entries: entries}
 	m.truth.Apply(u)
 	if m.rng.IntN(4) > 0 {
 		m.apply(member, u)
 	}
-	return true
 }
 
 // pair returns the two members in order.
--- a/io/mesh/guard.go
+++ b/io/mesh/guard.go
@@ -197,16 +197,16 @@
 	if member == nil || !m.book.MayTake(now, dir, addr) {
 		return nil
 	}
-	entries := []directory.Entry{member.Drop()}
 	takers := m.takers(now, member.Service, addr)
 	if len(takers) == 0 {
-		return entries // the planner spreads them once there is somebody
+		return []directory.Entry{member.Drop()} // the planner spreads them once there is somebody
 	}
-	var ranges []directory.Assignment
-	for _, a := range dir.OwnedBy(addr) {
+	owned := dir.OwnedBy(addr)
+	ranges := make([]directory.Assignment, 0, len(owned))
+	for _, a := range owned {
 		ranges = append(ranges, *a)
 	}
-	return append(entries, spread(dir, ranges, takers)...)
+	return append(spread(dir, ranges, takers), member.Drop())
 }
 
 // takers returns the members that take keys of a service, but for not, least
@@ -223,7 +223,7 @@
 	for i := range ranges {
 		total += ranges[i].Width()
 	}
-	var entries []directory.Entry
+	entries := make([]directory.Entry, 0, len(ranges)+len(takers))
 	for i, a := range ranges {
 		receivers := rotate(takers, i)
 		if a.Width() < total/len(takers) {
--- a/io/mesh/move.go
+++ b/io/mesh/move.go
@@ -78,19 +78,20 @@
 func (m *Mesh) closePart(h *holding, first, last uint16) *holding {
 	part := *h
 	part.First, part.Last, part.closing = first, last, true
-	rest := slices.DeleteFunc(slices.Clone(m.holdings), func(other *holding) bool { return other == h })
+	list := slices.DeleteFunc(slices.Clone(m.holdings), func(other *holding) bool { return other == h })
 	if h.First < first {
 		before := *h
 		before.Last = first - 1
-		rest = append(rest, &before)
+		list = append(list, &before)
 	}
 	if last < h.Last {
 		after := *h
 		after.First = last + 1
-		rest = append(rest, &after)
+		list = append(list, &after)
 	}
-	m.holdings = append(rest, &part)
-	slices.SortFunc(m.holdings, func(a, b *holding) int { return cmp.Compare(a.First, b.First) })
+	list = append(list, &part)
+	slices.SortFunc(list, func(a, b *holding) int { return cmp.Compare(a.First, b.First) })
+	m.holdings = list
 	m.notify()
 	return &part
 }
@@ -163,16 +164,16 @@
 	}
 }
 
-// evacuate starts to pass on all keys and reports whether it did; not while a
-// move or a grant is under way. The caller holds the mutex.
-func (m *Mesh) evacuate() bool {
+// evacuate starts to pass on all keys, unless a move or a grant is under way. The
+// caller holds the mutex.
+func (m *Mesh) evacuate() {
 	if m.moving || !m.divided() || slices.ContainsFunc(m.holdings, func(h *holding) bool { return h.calling }) {
-		return false
+		return
 	}
 	parts, to := m.evacuation()
 	if len(parts) == 0 {
 		m.draining = false
-		return false
+		return
 	}
 	m.log.Info("passing all keys on", "parts", len(parts))
 	m.moving = true
@@ -183,7 +184,6 @@
 		m.notify()
 		m.mu.Unlock()
 	}()
-	return true
 }
 
 // evacuation closes all holdings, cut up so that the other members get work by
--- a/io/mesh/sync.go
+++ b/io/mesh/sync.go
@@ -208,15 +208,14 @@
 
 // apply brings the directory up to date and follows what changed. The caller
 // holds the mutex.
-func (m *Mesh) apply(now time.Time, u directory.Update) bool {
+func (m *Mesh) apply(now time.Time, u directory.Update) {
 	if !m.dir.Apply(u) {
-		return false
+		return
 	}
 	m.book.Observe(now, m.dir)
 	m.noteJoins(now)
 	m.syncHoldings()
 	m.notify()
-	return true
 }
 
 // noteJoins gives members whose entry has changed the time to send heartbeats:
--- a/io/targetconn/targetconn.go
+++ b/io/targetconn/targetconn.go
@@ -230,8 +230,7 @@
 	// was cut by it.
 	stop func() bool
 	// sent receives the result of writing the body.
-	sent     chan error
-	bodySent bool
+	sent chan error
 }
 
 // run writes the request and reads the head of its answer. The body of the
@@ -247,7 +246,7 @@
 		go func() { x.sent <- x.writeBody() }()
 	}
 	for range skipAnswers {
-		resp, err := x.readHead()
+		resp, err := x.readHead() //nolint:bodyclose // skip reads it, or its user closes it
 		if err != nil {
 			return nil, &Error{Sent: true, Err: err}
 		}
@@ -365,12 +364,12 @@
 	if seconds, ok := keepAliveTimeout(resp.Header); ok {
 		x.conn.keep = time.Duration(float64(seconds) * idleShare * float64(time.Second))
 	}
-	reuse := !resp.Close && !(resp.ContentLength < 0 && len(resp.TransferEncoding) == 0)
+	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	return &Response{
 		Status:        resp.StatusCode,
 		Header:        resp.Header,
 		ContentLength: resp.ContentLength,
-		Body:          &body{x: x, in: resp.Body, reuse: reuse},
+		Body:          &body{x: x, in: resp.Body, reuse: framed && !resp.Close},
 	}
 }
 
