Explain failed and late requests from the logs, and never wait for a log reader

Cause: lines about requests came without what decided them, and the writing of lines blocked on standard output.

Change: io/logwriter queues lines, bounds them by the second (log_lines_per_s) and counts what it drops. The entry has a line for each request that was not answered or late, and the daemon of the target one for each that it did not answer, with the inputs: configuration, directory, fence, age of the report, slots, queue, lease, life of the target. 'siskinknot explain -request ID FILE...' puts them in order and names clocks that differ. The heap is collected at 25% growth.

--- a/cmd/siskinknot/mesh.go
+++ b/cmd/siskinknot/mesh.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -17,6 +18,7 @@
 	"github.com/rotisserie/eris"
 
 	"siskinknot/io/config"
+	"siskinknot/io/logwriter"
 	"siskinknot/io/mesh"
 	"siskinknot/io/peer"
 	"siskinknot/io/telemetry"
@@ -46,18 +48,26 @@
 	f.StringVar(&c.config, "config", os.Getenv(configVariable), "configuration `file`")
 }
 
+// heapGrowth is how much the heap may grow before it is collected, in percent. The
+// live heap is a few megabytes, and memory on the VMs is worth more than the
+// processor time of collecting it more often.
+const heapGrowth = 25
+
 func (c *meshCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	debug.SetGCPercent(heapGrowth)
 	cfg, err := config.LoadMesh(c.config)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitInvalid
 	}
+	lines := logwriter.New(os.Stdout, cfg.LogLines)
+	defer lines.Close()
 	log := hclog.New(&hclog.LoggerOptions{
 		Name:       "siskinknot",
 		Level:      hclog.LevelFromString(cfg.LogLevel),
-		Output:     os.Stdout,
+		Output:     lines,
 		JSONFormat: true,
-	})
+	}).With("server", cfg.Server)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	node, err := startNode(ctx, cfg, log)
@@ -65,7 +75,7 @@
 		log.Error("daemon did not start", "error", err)
 		return subcommands.ExitFailure
 	}
-	log.Info("started", "server", cfg.Server, "service", cfg.Service, "daemon", cfg.Daemon)
+	log.Info("started", "service", cfg.Service, "daemon", cfg.Daemon)
 	for {
 		select {
 		case <-node.mesh.Dead():
--- a/cmd/siskinknot/status.go
+++ b/cmd/siskinknot/status.go
@@ -6,12 +6,15 @@
 	"errors"
 	"flag"
 	"fmt"
+	"io"
 	"net/netip"
 	"os"
 	"text/tabwriter"
+	"time"
 
 	"github.com/google/subcommands"
 
+	"siskinknot/io/logreader"
 	"siskinknot/io/member"
 	"siskinknot/io/operator"
 )
@@ -145,22 +148,54 @@
 type explainCommand struct {
 	remote
 	service string
+	request string
+	around  time.Duration
 }
 
 func (*explainCommand) Name() string     { return "explain" }
-func (*explainCommand) Synopsis() string { return "say who owns a key, and why" }
+func (*explainCommand) Synopsis() string { return "say who owns a key, or what became of a request" }
+
 func (*explainCommand) Usage() string {
 	return `explain [-operator ADDR] [-json] -service NAME KEY
   Says who owns KEY, since which record of the log, and which records led there.
+explain -request ID [-around 2s] FILE...
+  Prints what the log files of several daemons say of the request ID, in order
+  of time, with what its daemons wrote of themselves shortly before.
 `
 }
 
 func (c *explainCommand) SetFlags(f *flag.FlagSet) {
 	c.setFlags(f)
 	f.StringVar(&c.service, "service", "", "`name` of the service")
+	f.StringVar(&c.request, "request", "", "`id` of a request to look for in log files")
+	f.DurationVar(&c.around, "around", 2*time.Second, "`time` before the request's first line to show")
+}
+
+// explainRequest prints what log files say of a request.
+func (c *explainCommand) explainRequest(files []string) subcommands.ExitStatus {
+	logs := make([]io.Reader, 0, len(files))
+	for _, name := range files {
+		file, err := os.Open(name)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return subcommands.ExitFailure
+		}
+		defer func() { _ = file.Close() }()
+		logs = append(logs, file)
+	}
+	path, err := logreader.Find(c.request, c.around, logs...)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	path.Print(os.Stdout)
+	return subcommands.ExitSuccess
 }
 
 func (c *explainCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.request != "" && f.NArg() > 0 {
+		return c.explainRequest(f.Args())
+	}
 	if f.NArg() != 1 || c.service == "" {
 		f.Usage()
 		return subcommands.ExitUsageError
--- a/io/config/mesh.go
+++ b/io/config/mesh.go
@@ -45,6 +45,8 @@
 	RetryExtra   float64 `json:"retry_extra"`
 	RetryWindowS float64 `json:"retry_window_s"`
 	LogLevel     string  `json:"log_level"`
+	// LogLines is the most log lines a second.
+	LogLines int `json:"log_lines_per_s"`
 }
 
 // meshDefaults are the values of the fields that a file leaves out; those of the
@@ -58,6 +60,7 @@
 	RetryExtra:     20,
 	RetryWindowS:   10,
 	LogLevel:       "info",
+	LogLines:       200,
 }
 
 // millisecond is one millisecond as a record.Millis.
--- a/io/mesh/entry.go
+++ b/io/mesh/entry.go
@@ -356,14 +356,46 @@
 // Body implements forward.Exchange.
 func (x *localExchange) Body() (io.Reader, error) { return x.body.Reader(), nil }
 
-// logEnd logs a request that was not answered, or late.
+// logEnd logs a request that was not answered, or answered late, with what the
+// entry went by.
 func (m *Mesh) logEnd(c *call, table *routing.Table, res outcome.Result) {
-	if _, answered := res.(outcome.Answered); answered {
+	now := boottime.Now()
+	_, answered := res.(outcome.Answered)
+	if answered && !now.After(c.head.Objective) {
 		return
 	}
-	now := boottime.Now()
-	m.log.Info("request not answered", "request", c.head.ID, "route", c.route.Name, "service", c.head.Service,
+	message := "request not answered"
+	if answered {
+		message = "request answered late"
+	}
+	m.mu.Lock()
+	end, storeOK := m.dir.End(), m.storeOK
+	owner, fence, age := m.lastOwner(now, c)
+	m.mu.Unlock()
+	m.log.Info(message, "request", c.head.ID, "route", c.route.Name, "service", c.head.Service,
 		"key", c.head.Key, "outcome", res.String(), "reason", reasonOf(res), "tries", c.tries,
 		"took_ms", now.Sub(c.req.Received).Milliseconds(), "left_ms", c.head.Deadline.Sub(now).Milliseconds(),
-		"config", table.Version)
+		"late_ms", now.Sub(c.head.Objective).Milliseconds(), "config", table.Version, "directory", end, "store_ok", storeOK,
+		"owner", owner, "fence", fence, "report_age_ms", age.Milliseconds())
+}
+
+// lastOwner returns where a request was sent to last, the fence of its key, and
+// how old the report of that member is. The caller holds the mutex.
+func (m *Mesh) lastOwner(now time.Time, c *call) (owner string, fence uint64, age time.Duration) {
+	addr := netip.AddrPort{}
+	if len(c.tried) > 0 {
+		addr = c.tried[len(c.tried)-1]
+	}
+	if key, err := strconv.ParseUint(c.head.Key, 10, 16); c.divided && err == nil {
+		if a := m.dir.AssignmentOf(c.head.Service, uint16(key)); a != nil {
+			addr, fence = a.Owner, a.Fence
+		}
+	}
+	if !addr.IsValid() {
+		return "", fence, 0
+	}
+	if r, ok := m.loads[addr]; ok {
+		age = now.Sub(r.at)
+	}
+	return addr.String(), fence, age
 }
--- a/io/mesh/gate.go
+++ b/io/mesh/gate.go
@@ -31,6 +31,35 @@
 // run runs a request at the target beside this daemon and passes its answer to
 // ex.
 func (m *Mesh) run(ctx context.Context, head *request.Head, ex forward.Exchange) outcome.Result {
+	came := boottime.Now()
+	res := m.runHere(ctx, head, ex)
+	if _, answered := res.(outcome.Answered); !answered {
+		m.logRefusal(came, head, res)
+	}
+	return res
+}
+
+// logRefusal logs a request that got no answer here, with what decided that.
+func (m *Mesh) logRefusal(came time.Time, head *request.Head, res outcome.Result) {
+	now := boottime.Now()
+	load := m.scheduler.Load()
+	m.mu.Lock()
+	lease := m.book.HeldUntil(m.dir)
+	t, end := m.target, m.dir.End()
+	m.mu.Unlock()
+	left := time.Duration(0)
+	if lease.After(now) {
+		left = lease.Sub(now)
+	}
+	m.log.Info("request not answered by target", "request", head.ID, "route", head.Route, "key", head.Key,
+		"outcome", res.String(), "reason", reasonOf(res), "took_ms", now.Sub(came).Milliseconds(),
+		"objective_left_ms", head.Objective.Sub(came).Milliseconds(), "running", load.Running, "queued", load.Queued,
+		"limit", load.Limit, "lease_left_ms", left.Milliseconds(), "directory", end, "instance", t.Instance,
+		"target_down", t.down, "target_leaving", !t.leavingSince.IsZero(), "target_heard_ms", now.Sub(t.heardAt).Milliseconds())
+}
+
+// runHere is run without its log line.
+func (m *Mesh) runHere(ctx context.Context, head *request.Head, ex forward.Exchange) outcome.Result {
 	now := boottime.Now()
 	key, divided, refusal := m.mayRun(now, head)
 	if refusal != nil {
