--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,7 @@
 
 run: build
 	bin/standin demo -bin bin
+	bin/standin demo -mesh -bin bin
 
 test: build
 	$(GO) vet ./...
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -17,6 +17,7 @@
 	"siskinknot/standin/demo"
 	"siskinknot/standin/logservice"
 	"siskinknot/standin/measure"
+	"siskinknot/standin/meshdemo"
 	"siskinknot/standin/targetserver"
 )
 
@@ -82,21 +83,48 @@
 
 // demoCommand runs the demonstration.
 type demoCommand struct {
-	bin string
+	bin  string
+	mesh bool
+	logs string
 }
 
 func (*demoCommand) Name() string     { return "demo" }
 func (*demoCommand) Synopsis() string { return "run a fleet through a bad day" }
-func (*demoCommand) Usage() string    { return "demo [-bin DIR]\n" }
+func (*demoCommand) Usage() string    { return "demo [-bin DIR] [-mesh [-logs FILE]]\n" }
 
 func (c *demoCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.bin, "bin", "bin", "directory of the programs")
+	f.BoolVar(&c.mesh, "mesh", false, "run a fleet on the platform's metadata store")
+	f.StringVar(&c.logs, "logs", "", "`file` for the log lines of the daemons")
+}
+
+// dayReport is what a demonstration counted.
+type dayReport interface {
+	Last() string
+	Broken() bool
+}
+
+// run runs the demonstration.
+func (c *demoCommand) run(ctx context.Context) (dayReport, error) {
+	if !c.mesh {
+		return demo.Run(ctx, c.bin, os.Stdout)
+	}
+	opts := meshdemo.Options{Bin: c.bin, Out: os.Stdout}
+	if c.logs != "" {
+		file, err := os.Create(c.logs)
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = file.Close() }()
+		opts.Logs = file
+	}
+	return meshdemo.Run(ctx, opts)
 }
 
 func (c *demoCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	ctx, cancel := context.WithTimeout(ctx, time.Minute)
 	defer cancel()
-	report, err := demo.Run(ctx, c.bin, os.Stdout)
+	report, err := c.run(ctx)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitFailure
