--- a/io/logreader/logreader.go
+++ b/io/logreader/logreader.go
@@ -159,7 +159,7 @@
 		_, _ = fmt.Fprintf(w, "%s %s %s %s%s\n", mark, l.At.Format("15:04:05.000"), l.Server, l.Message, fieldsText(l.Fields))
 	}
 	for server, skew := range p.Skews {
-		_, _ = fmt.Fprintf(w, "the clock of %s differs from the entry's by at least %v\n", server, skew.Round(time.Millisecond))
+		_, _ = fmt.Fprintf(w, "the clock of %s differs from the entry's by at least %v, or the daemon was paused\n", server, skew.Round(time.Millisecond))
 	}
 }
 
