Do not take a target that sheds at random for a full one

Change: the limit falls to 60% at most. The test of shedding asked for a limit below 6 of 10 and asks for 6 now, which is the stated bound. Late answers have a line at the target's daemon as well, with the times in queue and at the target.

--- a/core/scheduling/scheduling.go
+++ b/core/scheduling/scheduling.go
@@ -15,8 +15,10 @@
 //     a short queue of its own, which is served when no other can run.
 //   - Estimates come from the measured target time of each route, and from the
 //     share of the target that higher ranks use.
-//   - A target that sheds is believed: the limit shrinks with each request that
-//     it refuses, and grows back as others succeed.
+//   - A target that sheds is believed in part: the limit shrinks with each request
+//     that it refuses, and grows back as others succeed. It never got more than
+//     it has slots for, so that a target which refuses many is more likely
+//     faulty than full; giving up its slots as well would refuse the rest.
 //
 // Weighed and left: fair shares by weight let requests with a low rank take the
 // time that makes those with a higher rank late; a queue bounded by length says
@@ -410,7 +412,7 @@
 	const (
 		smoothing   = 12  // share of a new observation: one twelfth
 		shedFactor  = 0.9 // of the limit left after a refusal
-		leastFactor = 0.2 // of the slots that is never given up
+		leastFactor = 0.6 // of the slots that is never given up
 	)
 	slots := float64(s.slots)
 	switch use {
--- a/core/scheduling/scheduling_test.go
+++ b/core/scheduling/scheduling_test.go
@@ -134,14 +134,15 @@
 	require.Zero(t, s.Load().Queued)
 }
 
-// TestShedding checks that a target which refuses gets less, and more again.
+// TestShedding checks that a target which refuses gets less, but never less than
+// 60% of its slots, and more again.
 func TestShedding(t *testing.T) {
 	s, permits := busy(t, 10, 10*time.Millisecond)
 	for _, p := range permits {
 		p.Done(at(1), Shed)
 	}
 	shed := s.Load().Limit
-	require.Less(t, shed, 6)
+	require.Equal(t, 6, shed)
 	for range 40 {
 		p, refusal := s.Acquire(context.Background(), at(2), request("lookup", 1, 2, 100))
 		require.Nil(t, refusal)
--- a/io/mesh/gate.go
+++ b/io/mesh/gate.go
@@ -31,17 +31,33 @@
 // run runs a request at the target beside this daemon and passes its answer to
 // ex.
 func (m *Mesh) run(ctx context.Context, head *request.Head, ex forward.Exchange) outcome.Result {
-	came := boottime.Now()
-	res := m.runHere(ctx, head, ex)
-	if _, answered := res.(outcome.Answered); !answered {
-		m.logRefusal(came, head, res)
+	s := stay{came: boottime.Now()}
+	res := m.runHere(ctx, head, ex, &s)
+	s.left = boottime.Now()
+	if _, answered := res.(outcome.Answered); !answered || s.left.After(head.Objective) {
+		m.logStay(&s, head, res)
 	}
 	return res
 }
 
-// logRefusal logs a request that got no answer here, with what decided that.
-func (m *Mesh) logRefusal(came time.Time, head *request.Head, res outcome.Result) {
-	now := boottime.Now()
+// stay is the time of a request at the daemon of its target.
+type stay struct {
+	came time.Time
+	// admitted is when the request got a slot; zero if it did not.
+	admitted, left time.Time
+}
+
+// logStay logs a request that got no answer here, or a late one, with what
+// decided that.
+func (m *Mesh) logStay(s *stay, head *request.Head, res outcome.Result) {
+	message, queued, ran := "request not answered by target", s.left.Sub(s.came), time.Duration(0)
+	if _, answered := res.(outcome.Answered); answered {
+		message = "request answered late by target"
+	}
+	if !s.admitted.IsZero() {
+		queued, ran = s.admitted.Sub(s.came), s.left.Sub(s.admitted)
+	}
+	now := s.left
 	load := m.scheduler.Load()
 	m.mu.Lock()
 	lease := m.book.HeldUntil(m.dir)
@@ -51,15 +67,15 @@
 	if lease.After(now) {
 		left = lease.Sub(now)
 	}
-	m.log.Info("request not answered by target", "request", head.ID, "route", head.Route, "key", head.Key,
-		"outcome", res.String(), "reason", reasonOf(res), "took_ms", now.Sub(came).Milliseconds(),
-		"objective_left_ms", head.Objective.Sub(came).Milliseconds(), "running", load.Running, "queued", load.Queued,
+	m.log.Info(message, "request", head.ID, "route", head.Route, "key", head.Key,
+		"outcome", res.String(), "reason", reasonOf(res), "queued_ms", queued.Milliseconds(), "ran_ms", ran.Milliseconds(),
+		"objective_left_ms", head.Objective.Sub(s.came).Milliseconds(), "running", load.Running, "queued", load.Queued,
 		"limit", load.Limit, "lease_left_ms", left.Milliseconds(), "directory", end, "instance", t.Instance,
 		"target_down", t.down, "target_leaving", !t.leavingSince.IsZero(), "target_heard_ms", now.Sub(t.heardAt).Milliseconds())
 }
 
-// runHere is run without its log line.
-func (m *Mesh) runHere(ctx context.Context, head *request.Head, ex forward.Exchange) outcome.Result {
+// runHere is run without its log line; it notes when the request got a slot.
+func (m *Mesh) runHere(ctx context.Context, head *request.Head, ex forward.Exchange, s *stay) outcome.Result {
 	now := boottime.Now()
 	key, divided, refusal := m.mayRun(now, head)
 	if refusal != nil {
@@ -83,6 +99,7 @@
 		return refusal
 	}
 	started := boottime.Now()
+	s.admitted = started
 	permit.Start(started)
 	res, use := m.admitted(ctx, head, ex, key, divided)
 	ended := boottime.Now()
