Keep serving while the store is away, and space the calls that fail

Change: tries double their pause from 0.4 to 1.2 s; keys are released only while the store answers, and a stopping daemon serves until 1.2 s before its limit.

Keys of a daemon that is stopped during an outage are away until it is over: there is no heir (PLATFORM).

--- a/cmd/siskinknot/mesh.go
+++ b/cmd/siskinknot/mesh.go
@@ -200,13 +200,16 @@
 	// leaveShare is the share of the shutdown limit in which keys are passed on;
 	// the rest is for the requests that were taken until then.
 	leaveShare = 0.5
-	// stopReserve is what is left of the shutdown limit for closing.
-	stopReserve = 400 * time.Millisecond
+	// stopReserve is what is left of the shutdown limit for closing, and
+	// finishReserve for the requests under way at the target.
+	stopReserve   = 400 * time.Millisecond
+	finishReserve = 1200 * time.Millisecond
 )
 
 // stop ends the daemon in good order and reports whether nothing was cut off.
 func (n *node) stop(ctx context.Context) bool {
 	limit := seconds(n.cfg.ShutdownLimitS)
+	deadline := time.Now().Add(limit)
 	ctx, cancel := context.WithTimeout(ctx, limit-stopReserve)
 	defer cancel()
 	leaveCtx, cancelLeave := context.WithTimeout(ctx, time.Duration(float64(limit)*leaveShare))
@@ -218,6 +221,12 @@
 	case <-leaveCtx.Done():
 	}
 	err := n.callers.Shutdown(ctx)
+	if !left {
+		// Other daemons' callers are served until the keys can be passed on.
+		lateCtx, cancelLate := context.WithTimeout(ctx, time.Until(deadline)-finishReserve)
+		defer cancelLate()
+		left = n.mesh.Leave(lateCtx)
+	}
 	idle := n.mesh.Finish(ctx)
 	for _, server := range n.servers {
 		_ = server.Close()
--- a/io/mesh/move.go
+++ b/io/mesh/move.go
@@ -158,16 +158,17 @@
 	if m.leaving {
 		return // Leave does it
 	}
-	m.draining = gone
+	m.draining = gone && m.storeOK
 	if gone {
 		m.evacuate()
 	}
 }
 
-// evacuate starts to pass on all keys, unless a move or a grant is under way. The
-// caller holds the mutex.
+// evacuate starts to pass on all keys, unless a move or a grant is under way, or
+// the store is away: keys that were released could go nowhere. The caller holds
+// the mutex.
 func (m *Mesh) evacuate() {
-	if m.moving || !m.divided() || slices.ContainsFunc(m.holdings, func(h *holding) bool { return h.calling }) {
+	if m.moving || !m.divided() || !m.storeOK || slices.ContainsFunc(m.holdings, func(h *holding) bool { return h.calling }) {
 		return
 	}
 	parts, to := m.evacuation()
@@ -280,7 +281,7 @@
 	if ctx.Err() != nil || len(m.holdings) == 0 || !m.divided() {
 		return false
 	}
-	m.draining = true
+	m.draining = m.storeOK
 	m.evacuate()
-	return m.moving || m.draining
+	return m.moving || m.draining || !m.storeOK
 }
--- a/io/mesh/tend.go
+++ b/io/mesh/tend.go
@@ -18,6 +18,9 @@
 	// retryRead is the time between reads that stand in for renewals, and
 	// between those that fail; every call to the store has a price.
 	retryRead = 400 * time.Millisecond
+	// lastRetry is the longest pause after a call that failed: entries that
+	// lapsed while the store was away have to be back within 2 s.
+	lastRetry = 1200 * time.Millisecond
 	// firstHeartbeat is how long a new member waits for its target before it
 	// joins without.
 	firstHeartbeat = 2 * time.Second
@@ -38,31 +41,63 @@
 type tending struct {
 	mesh    *Mesh
 	started time.Time
-	triedAt time.Time
+	// members and since hold how many members there are, and since when.
 	members int
 	since   time.Time
+	// read and write space the calls that fail.
+	read, write backoff
+}
+
+// backoff spaces tries: the pause after a failure doubles from retryRead on.
+type backoff struct {
+	next  time.Time
+	pause time.Duration
+}
+
+// due reports whether the next try may be made at now.
+func (b *backoff) due(now time.Time) bool { return !now.Before(b.next) }
+
+// tried notes a try at now.
+func (b *backoff) tried(now time.Time, ok bool) {
+	if ok {
+		b.pause = 0
+	} else {
+		b.pause = min(max(2*b.pause, retryRead), lastRetry)
+	}
+	b.next = now.Add(max(b.pause, retryRead))
 }
 
 // tick does what is due at now.
 func (t *tending) tick(now time.Time) {
 	m := t.mesh
 	if t.readDue(now) {
-		t.triedAt = now
-		m.refresh()
+		t.read.tried(now, m.refresh())
 	}
 	m.mu.Lock()
 	if n := len(m.dir.Members()); n != t.members {
 		t.members, t.since = n, now
 	}
 	loaded, leaving := m.loaded, m.leaving
-	joinDue := loaded && !leaving && m.joinDue(now, t.started)
-	guardiansDue := loaded && !leaving && now.Sub(t.since) > settleTime && m.guardiansDue(now)
+	mayWrite := loaded && !leaving && t.write.due(now)
+	joinDue := mayWrite && m.joinDue(now, t.started)
+	guardiansDue := mayWrite && now.Sub(t.since) > settleTime && m.guardiansDue(now)
 	m.mu.Unlock()
 	if joinDue {
-		m.logIf("join", m.commit("join", m.joinEntries))
+		t.commit(now, "join", m.joinEntries)
 	}
 	if guardiansDue {
-		m.logIf("guardians", m.commit("guardians", m.guardianEntries))
+		t.commit(now, "guardians", m.guardianEntries)
+	}
+}
+
+// commit changes the directory; after a failure there is a pause.
+func (t *tending) commit(now time.Time, what string, build func(*directory.Directory) []directory.Entry) {
+	err := t.mesh.commit(what, build)
+	t.mesh.logIf(what, err)
+	if err != nil {
+		t.write.tried(now, false)
+	} else {
+		t.write = backoff{}
 	}
 }
 
@@ -78,7 +113,7 @@
 	m := t.mesh
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if now.Sub(t.triedAt) < retryRead {
+	if !t.read.due(now) {
 		return false
 	}
 	if !m.loaded || now.Sub(m.book.ReadAt()) > readEvery {
