Let moved keys rest, and count moved work out at once

Change: keys stay 2 s after a move; what was passed on leaves the demand at once; plans each 0.5 s instead of 0.7 s.

--- a/io/mesh/demand.go
+++ b/io/mesh/demand.go
@@ -26,6 +26,13 @@
 	d.sum += d.service[class].Seconds()
 }
 
+// moved notes that keys which used perSecond target time a second went to another
+// member: their requests will not come here any more.
+func (d *demand) moved(now time.Time, perSecond float64) {
+	d.decay(now)
+	d.sum = max(0, d.sum-perSecond*demandHalfLife.Seconds()/math.Ln2)
+}
+
 // served notes that the target ran a request in took.
 func (d *demand) served(class request.Class, took time.Duration) {
 	const weight = 16
--- a/io/mesh/hold.go
+++ b/io/mesh/hold.go
@@ -37,29 +37,31 @@
 	unansweredUntil time.Time
 	// closing is set once the keys are on their way to another owner.
 	closing bool
+	// since is when the keys came to this member.
+	since time.Time
 }
 
 // syncHoldings makes the holdings those that the directory gives this member. A
 // part of a former holding keeps its grant. The caller holds the mutex.
-func (m *Mesh) syncHoldings() {
+func (m *Mesh) syncHoldings(now time.Time) {
 	var next []*holding
 	for _, a := range m.dir.OwnedBy(m.cfg.Self) {
 		if a.Service != m.cfg.Service {
 			continue
 		}
-		next = append(next, m.carryOver(a)...)
+		next = append(next, m.carryOver(now, a)...)
 	}
 	m.holdings = next
 }
 
 // carryOver returns the holdings for a: the present ones where they have the
 // same fence, and new ones elsewhere.
-func (m *Mesh) carryOver(a *directory.Assignment) []*holding {
+func (m *Mesh) carryOver(now time.Time, a *directory.Assignment) []*holding {
 	var list []*holding
 	next := int(a.First)
 	fresh := func(last int) {
 		if next <= last {
-			part := &holding{Assignment: *a}
+			part := &holding{Assignment: *a, since: now}
 			part.First, part.Last = uint16(next), uint16(last)
 			list = append(list, part)
 		}
--- a/io/mesh/hold_test.go
+++ b/io/mesh/hold_test.go
@@ -30,7 +30,7 @@
 		entries = append(entries, a.Put())
 	}
 	m.dir.Apply(directory.Update{End: uint64(len(entries)), Entries: entries})
-	m.syncHoldings()
+	m.syncHoldings(time.Unix(1000, 0))
 	return m
 }
 
--- a/io/mesh/move.go
+++ b/io/mesh/move.go
@@ -20,6 +20,10 @@
 	// mostHoldings is how many ranges a member may have before only whole ones
 	// are moved: each is a grant to renew.
 	mostHoldings = 24
+	// restTime is how long keys stay after a move before they may move again: a
+	// stretch that is busy enough to overload its next owner would go from one to
+	// the other, and its callers wait each time.
+	restTime = 2 * time.Second
 )
 
 // answerYield passes some of this member's work on to another.
@@ -55,7 +59,7 @@
 	var best placement.Stretch
 	var from *holding
 	for _, h := range m.holdings {
-		if h.closing || h.calling || !h.granted {
+		if h.closing || h.calling || !h.granted || now.Sub(h.since) < restTime {
 			continue
 		}
 		s, ok := m.heat.Pick(now, h.First, h.Last, demand)
@@ -131,6 +135,12 @@
 		return dir.Move(a, []directory.Part{{First: h.First, Last: h.Last, To: to, Handover: handover}})
 	})
 	m.logIf("move", err)
+	if err == nil {
+		m.mu.Lock()
+		now := boottime.Now()
+		m.demand.moved(now, m.heat.Demand(now, h.First, h.Last))
+		m.mu.Unlock()
+	}
 	m.log.Info("keys passed on", "first", h.First, "last", h.Last, "to", to, "warm", handover != "",
 		"release_ms", released.Sub(started).Milliseconds(), "write_ms", boottime.Now().Sub(released).Milliseconds())
 	var open *undecided
--- a/io/mesh/plan.go
+++ b/io/mesh/plan.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// planEvery leaves the reports time to show what the last moves did.
-	planEvery = 700 * time.Millisecond
+	// planEvery is about the time between two reports.
+	planEvery = 500 * time.Millisecond
 	// assignSettle is how long the members of a service must have been the same
 	// before its keys are first assigned: later ones would get theirs by moves.
 	assignSettle = 900 * time.Millisecond
--- a/io/mesh/sync.go
+++ b/io/mesh/sync.go
@@ -214,7 +214,7 @@
 	}
 	m.book.Observe(now, m.dir)
 	m.noteJoins(now)
-	m.syncHoldings()
+	m.syncHoldings(now)
 	m.notify()
 }
 
