--- a/cmd/siskinknot/mesh.go
+++ b/cmd/siskinknot/mesh.go
@@ -135,14 +135,13 @@
 	n.target = platform.NewTarget(cfg.Target)
 	n.pool = peer.NewPool(cfg.Server, cfg.Daemon.Addr(), log.Named("peer"))
 	n.mesh = mesh.New(mesh.Config{
-		Self:        cfg.Daemon,
-		Service:     cfg.Service,
-		Zone:        cfg.Zone,
-		MaxHold:     cfg.MaxGrant.Duration(),
-		DrainTime:   cfg.Drain.Duration(),
-		RetryRatio:  cfg.RetryRatio,
-		RetryExtra:  cfg.RetryExtra,
-		RetryWindow: seconds(cfg.RetryWindowS),
+		Self:       cfg.Daemon,
+		Service:    cfg.Service,
+		Zone:       cfg.Zone,
+		MaxHold:    cfg.MaxGrant.Duration(),
+		DrainTime:  cfg.Drain.Duration(),
+		RetryRatio: cfg.RetryRatio,
+		RetryExtra: cfg.RetryExtra,
 	}, mesh.Deps{
 		Store:        store,
 		Target:       n.target,
--- a/io/config/mesh.go
+++ b/io/config/mesh.go
@@ -31,20 +31,17 @@
 	Metrics   netip.AddrPort `json:"metrics_address,omitzero"`
 	Target    netip.AddrPort `json:"target_address"`
 	Store     netip.AddrPort `json:"store_address"`
-	MemoryMB  float64        `json:"memory_mb"`
 	// MaxGrant is the longest grant that the target takes, and Drain how long it
 	// takes requests after its leaving was acknowledged.
 	MaxGrant record.Millis `json:"max_grant_ms"`
 	Drain    record.Millis `json:"drain_ms"`
 	// ShutdownLimitS is how long the daemon may take to stop, in seconds.
 	ShutdownLimitS float64 `json:"shutdown_limit_s"`
-	// RetryRatio, RetryExtra and RetryWindowS are the fleet's budget of second
-	// sends to a service: a share of its requests and a number, for each window
-	// of so many seconds.
-	RetryRatio   float64 `json:"retry_ratio"`
-	RetryExtra   float64 `json:"retry_extra"`
-	RetryWindowS float64 `json:"retry_window_s"`
-	LogLevel     string  `json:"log_level"`
+	// RetryRatio and RetryExtra are the fleet's budget of second sends: a share of
+	// the requests, and a number that may be sent at once on top.
+	RetryRatio float64 `json:"retry_ratio"`
+	RetryExtra float64 `json:"retry_extra"`
+	LogLevel   string  `json:"log_level"`
 	// LogLines is the most log lines a second.
 	LogLines int `json:"log_lines_per_s"`
 }
@@ -52,13 +49,11 @@
 // meshDefaults are the values of the fields that a file leaves out; those of the
 // platform's terms are its usual ones.
 var meshDefaults = Mesh{
-	MemoryMB:       256,
 	MaxGrant:       10_000 * millisecond,
 	Drain:          2_000 * millisecond,
 	ShutdownLimitS: 6,
 	RetryRatio:     0.2,
 	RetryExtra:     20,
-	RetryWindowS:   10,
 	LogLevel:       "info",
 	LogLines:       200,
 }
--- a/io/mesh/entry.go
+++ b/io/mesh/entry.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -312,7 +313,7 @@
 		if member.State != directory.Active || (known && (!r.Accepting || now.Sub(r.at) > reportLimit)) {
 			continue
 		}
-		if contains(c.tried, member.Address) {
+		if slices.Contains(c.tried, member.Address) {
 			again = append(again, member.Address)
 			continue
 		}
@@ -327,16 +328,6 @@
 	return all, local
 }
 
-// contains reports whether list has addr.
-func contains(list []netip.AddrPort, addr netip.AddrPort) bool {
-	for _, other := range list {
-		if other == addr {
-			return true
-		}
-	}
-	return false
-}
-
 // to sends a request to the daemon at addr, or runs it here.
 func (m *Mesh) to(ctx context.Context, addr netip.AddrPort, c *call) outcome.Result {
 	body := c.req.Body.attempt()
--- a/io/mesh/hold.go
+++ b/io/mesh/hold.go
@@ -178,7 +178,9 @@
 		m.mu.Unlock()
 		return
 	}
-	h.mayHoldUntil = later(h.mayHoldUntil, sentAt.Add(grantTimeout+time.Duration(float64(hold)*clockRate)))
+	if until := sentAt.Add(grantTimeout + time.Duration(float64(hold)*clockRate)); until.After(h.mayHoldUntil) {
+		h.mayHoldUntil = until
+	}
 	m.mu.Unlock()
 	res := m.out.Grant(ctx, a, hold)
 	now := boottime.Now()
@@ -267,11 +269,3 @@
 		}
 	}
 }
-
-// later returns the later of two times.
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -67,10 +67,9 @@
 	// DrainTime is how long after its notice a leaving target takes requests.
 	DrainTime time.Duration
 	// RetryRatio and RetryExtra are the fleet's budget of second sends: a share
-	// of the requests, and a number for each RetryWindow.
-	RetryRatio  float64
-	RetryExtra  float64
-	RetryWindow time.Duration
+	// of the requests, and a number that may be sent at once on top.
+	RetryRatio float64
+	RetryExtra float64
 }
 
 // Deps are what a Mesh works with.
