--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -28,6 +28,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -141,6 +142,9 @@
 	end     uint64
 	entries map[string][]byte
 	members map[netip.AddrPort]*Member
+	// order holds the members by address. It is replaced with each update, so that
+	// a list that was handed out stays as it is.
+	order []*Member
 	// ranges holds the assignments of each service, ordered by First.
 	ranges map[string][]*Assignment
 }
@@ -170,6 +174,7 @@
 		d.set(e)
 	}
 	d.end = u.End
+	d.order = slices.SortedFunc(maps.Values(d.members), func(a, b *Member) int { return a.Address.Compare(b.Address) })
 	for _, list := range d.ranges {
 		slices.SortFunc(list, func(a, b *Assignment) int { return cmp.Compare(a.First, b.First) })
 	}
@@ -226,19 +231,19 @@
 // Member returns the member at addr, or nil.
 func (d *Directory) Member(addr netip.AddrPort) *Member { return d.members[addr] }
 
-// Members returns all members, ordered by address.
-func (d *Directory) Members() []*Member {
-	list := make([]*Member, 0, len(d.members))
-	for _, m := range d.members {
-		list = append(list, m)
-	}
-	slices.SortFunc(list, func(a, b *Member) int { return a.Address.Compare(b.Address) })
-	return list
-}
+// Members returns all members, ordered by address. Callers must not change the
+// list.
+func (d *Directory) Members() []*Member { return d.order }
 
 // MembersOf returns the members of a service, ordered by address.
 func (d *Directory) MembersOf(service string) []*Member {
-	return slices.DeleteFunc(d.Members(), func(m *Member) bool { return m.Service != service })
+	var list []*Member
+	for _, m := range d.order {
+		if m.Service == service {
+			list = append(list, m)
+		}
+	}
+	return list
 }
 
 // Assignments returns the assignments of a service in order. Callers must not
@@ -275,12 +280,7 @@
 
 // services returns the names of the services with assignments, in order.
 func (d *Directory) services() []string {
-	names := make([]string, 0, len(d.ranges))
-	for name := range d.ranges {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
+	return slices.Sorted(maps.Keys(d.ranges))
 }
 
 // Free returns the ranges of a service that have no assignment, as assignments
--- a/core/tenure/tenure.go
+++ b/core/tenure/tenure.go
@@ -177,14 +177,6 @@
 	b.changing, b.changedFrom, b.changedAt = true, version, now
 }
 
-// GuardiansSettled notes that the directory is known to have reached end, so
-// that a change conditional on an earlier version has succeeded or failed.
-func (b *Book) GuardiansSettled(end uint64) {
-	if end > b.changedFrom {
-		b.changing = false
-	}
-}
-
 // Changing reports whether the fate of a change of guardians is unknown.
 func (b *Book) Changing() bool { return b.changing }
 
@@ -208,7 +200,9 @@
 
 // Observe follows a change of the directory that was applied at now.
 func (b *Book) Observe(now time.Time, dir *directory.Directory) {
-	b.GuardiansSettled(dir.End())
+	if dir.End() > b.changedFrom {
+		b.changing = false // the change has succeeded or failed
+	}
 	for _, m := range dir.Members() {
 		if m.State != directory.Fenced {
 			delete(b.fences, m.Address)
--- a/io/mesh/entry.go
+++ b/io/mesh/entry.go
@@ -121,9 +121,11 @@
 	sink  Sink
 	// tries counts the sends, and tried holds the targets of a shared service
 	// that were sent to.
-	tries   int
-	tried   []netip.AddrPort
+	tries int
+	tried []netip.AddrPort
+	// divided is set if the service is, and key is then the request's key.
 	divided bool
+	key     uint16
 	// spent is set once a body that cannot be read twice has been taken.
 	spent bool
 }
@@ -147,9 +149,11 @@
 		c.divided = svc.Divided
 	}
 	if c.divided {
-		if _, err := strconv.ParseUint(req.Key, 10, 16); err != nil {
+		key, err := strconv.ParseUint(req.Key, 10, 16)
+		if err != nil {
 			return Refused{NotRun: outcome.NotRun{Reason: outcome.Malformed}, Status: http.StatusBadRequest}
 		}
+		c.key = uint16(key)
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.head.Deadline.Sub(boottime.Now()))
 	defer cancel()
@@ -201,9 +205,6 @@
 
 // attempts sends a request until it is answered or may not be sent again.
 func (m *Mesh) attempts(ctx context.Context, c *call) outcome.Result {
-	m.mu.Lock()
-	m.budget.SetBurst(m.cfg.RetryExtra * budgetShare / float64(max(1, len(m.dir.Members()))))
-	m.mu.Unlock()
 	m.budget.Deposit(int(100 * m.cfg.RetryRatio * budgetShare))
 	policy := retry.Policy{Attempts: c.route.MaxAttempts}
 	giveUp := c.req.Received.Add(time.Duration(float64(c.route.LatencyObjective) * waitShare))
@@ -264,11 +265,9 @@
 	if !c.divided {
 		return m.toShared(ctx, c)
 	}
-	key, err := strconv.ParseUint(c.head.Key, 10, 16)
-	if err != nil {
-		return outcome.NotRun{Reason: outcome.Malformed}
-	}
-	a := m.owned(c.head.Service, uint16(key))
+	m.mu.Lock()
+	a := m.dir.AssignmentOf(c.head.Service, c.key)
+	m.mu.Unlock()
 	if a == nil {
 		return outcome.NotRun{Reason: outcome.NoOwner}
 	}
@@ -377,8 +376,8 @@
 	if len(c.tried) > 0 {
 		addr = c.tried[len(c.tried)-1]
 	}
-	if key, err := strconv.ParseUint(c.head.Key, 10, 16); c.divided && err == nil {
-		if a := m.dir.AssignmentOf(c.head.Service, uint16(key)); a != nil {
+	if c.divided {
+		if a := m.dir.AssignmentOf(c.head.Service, c.key); a != nil {
 			addr, fence = a.Owner, a.Fence
 		}
 	}
--- a/io/mesh/gate.go
+++ b/io/mesh/gate.go
@@ -7,7 +7,6 @@
 	"strconv"
 	"time"
 
-	"siskinknot/core/directory"
 	"siskinknot/core/outcome"
 	"siskinknot/core/request"
 	"siskinknot/core/scheduling"
@@ -283,10 +282,3 @@
 	}
 	return outcome.Answered{Status: resp.Status}
 }
-
-// owned returns the assignment of a key, or nil.
-func (m *Mesh) owned(service string, key uint16) *directory.Assignment {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.dir.AssignmentOf(service, key)
-}
--- a/io/mesh/guard.go
+++ b/io/mesh/guard.go
@@ -171,8 +171,6 @@
 		return
 	}
 	may := m.book.MayTake(now, m.dir, addr)
-	ask := m.book.Unconfirmed(m.dir, addr)
-	snapshot := m.dir.Snapshot()
 	m.mu.Unlock()
 	if may {
 		m.logIf("take", m.commit("take", func(dir *directory.Directory) []directory.Entry {
@@ -184,6 +182,9 @@
 		return
 	}
 	g.askedAt[addr] = now
+	m.mu.Lock()
+	ask, snapshot := m.book.Unconfirmed(m.dir, addr), m.dir.Snapshot()
+	m.mu.Unlock()
 	for _, guardian := range ask {
 		go m.tell(guardian, snapshot)
 	}
--- a/io/mesh/heartbeat.go
+++ b/io/mesh/heartbeat.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"siskinknot/core/directory"
 	"siskinknot/core/placement"
 	"siskinknot/core/tenure"
@@ -54,37 +56,30 @@
 		if !loaded {
 			return
 		}
+		renewing := proto.CloneOf(msg)
+		renewing.Renew = true
 		for _, addr := range guardians {
-			go m.sendHeartbeat(addr, msg, true)
+			go m.sendHeartbeat(addr, renewing)
 		}
 		for _, addr := range rest {
-			go m.sendHeartbeat(addr, msg, false)
+			go m.sendHeartbeat(addr, msg)
 		}
 	})
 }
 
-// sendHeartbeat sends a heartbeat to another member; renew asks it to renew the
-// lease.
-func (m *Mesh) sendHeartbeat(addr netip.AddrPort, msg *peerpb.Heartbeat, renew bool) {
-	call := &peerpb.Heartbeat{
-		From:          msg.From,
-		DirectoryEnd:  msg.DirectoryEnd,
-		ConfigVersion: msg.ConfigVersion,
-		Load:          msg.Load,
-		StoreOk:       msg.StoreOk,
-		Renew:         renew,
-	}
+// sendHeartbeat sends a heartbeat to another member.
+func (m *Mesh) sendHeartbeat(addr netip.AddrPort, msg *peerpb.Heartbeat) {
 	ctx, cancel := m.timeout(peerTimeout)
 	defer cancel()
 	sentAt := boottime.Now()
-	reply, err := m.pool.Ask(ctx, addr, &peerpb.Call{Kind: &peerpb.Call_Heartbeat{Heartbeat: call}})
+	reply, err := m.pool.Ask(ctx, addr, &peerpb.Call{Kind: &peerpb.Call_Heartbeat{Heartbeat: msg}})
 	if err != nil {
 		return
 	}
 	now := boottime.Now()
 	m.mu.Lock()
 	m.book.Confirmed(now, addr, reply.NextOffset)
-	if renew && reply.Granted {
+	if msg.Renew && reply.Granted {
 		m.book.Granted(now, sentAt, addr)
 	}
 	behind := reply.NextOffset > m.dir.End() || (m.table == nil && reply.SettingsVersion > 0) ||
--- a/io/mesh/hold_test.go
+++ b/io/mesh/hold_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"siskinknot/core/directory"
+	"siskinknot/core/retry"
 	"siskinknot/core/tenure"
 )
 
@@ -21,6 +22,7 @@
 		dir:     directory.New(),
 		entries: map[netip.AddrPort]string{},
 		book:    tenure.New(self),
+		budget:  retry.NewBudget(0),
 		changed: make(chan struct{}),
 		wake:    make(chan struct{}, 1),
 	}
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -215,6 +215,7 @@
 
 		decodeConfig: deps.DecodeConfig,
 	}
+	m.budget.SetBurst(m.retryBurst())
 	m.tomb.Go(m.tend)
 	m.tomb.Go(m.beat)
 	m.tomb.Go(m.guard)
@@ -259,6 +260,12 @@
 	return m.table
 }
 
+// retryBurst returns this daemon's share of the second sends that the fleet may
+// make on top of a share of its requests. The caller holds the mutex.
+func (m *Mesh) retryBurst() float64 {
+	return m.cfg.RetryExtra * budgetShare / float64(max(1, len(m.dir.Members())))
+}
+
 // divided reports whether this daemon's target belongs to a divided service.
 // The caller holds the mutex.
 func (m *Mesh) divided() bool {
--- a/io/mesh/sync.go
+++ b/io/mesh/sync.go
@@ -215,6 +215,7 @@
 	m.book.Observe(now, m.dir)
 	m.noteJoins(now)
 	m.syncHoldings(now)
+	m.budget.SetBurst(m.retryBurst())
 	m.notify()
 }
 
--- a/io/targetconn/targetconn.go
+++ b/io/targetconn/targetconn.go
@@ -108,7 +108,6 @@
 	mu     sync.Mutex
 	idle   []*conn
 	closed bool
-	opened int64
 }
 
 // New returns a Client without connections.
@@ -126,13 +125,6 @@
 	idleSince time.Time
 }
 
-// Opened returns the number of connections opened so far.
-func (c *Client) Opened() int64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.opened
-}
-
 // Close closes the idle connections; those in use are closed when their exchange
 // ends.
 func (c *Client) Close() {
@@ -172,7 +164,6 @@
 		c.mu.Lock()
 		n := len(c.idle)
 		if n == 0 {
-			c.opened++
 			c.mu.Unlock()
 			break
 		}
