Use one copy of end-to-end headers, choosers by service, and waiting

Cause: the mesh's entry and its adapter wrote again what the first daemon's entry had: which headers are passed on, a Chooser for each shared service, and, in the stand-ins, waiting for a condition.

Change: forward.EndToEnd, balance.Choosers and processes.Until serve both; each entry takes its own headers out on top.

--- a/core/balance/choice.go
+++ b/core/balance/choice.go
@@ -151,3 +151,16 @@
 		}
 	}
 }
+
+// Choosers holds a Chooser for each shared service. The zero value is ready for
+// use, and safe for concurrent use.
+type Choosers struct{ byService sync.Map }
+
+// Of returns the Chooser of a service.
+func (c *Choosers) Of(service string) *Chooser {
+	if found, ok := c.byService.Load(service); ok {
+		return found.(*Chooser)
+	}
+	found, _ := c.byService.LoadOrStore(service, NewChooser())
+	return found.(*Chooser)
+}
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -7,7 +7,6 @@
 	"strconv"
 	"time"
 
-	"siskinknot/core/balance"
 	"siskinknot/core/outcome"
 	"siskinknot/core/record"
 	"siskinknot/core/retry"
@@ -102,7 +101,7 @@
 		ids = append(ids, route.ID)
 	}
 	start := boottime.Now()
-	chooser := e.chooser(c.head.Service)
+	chooser := e.choosers.Of(c.head.Service)
 	chosen := chooser.Pick(start, c.values.SharedChoice, ids)
 	res := e.to(ctx, byID[chosen], c, sink)
 	end := boottime.Now()
@@ -111,15 +110,6 @@
 	return res
 }
 
-// chooser returns the Chooser of a shared service.
-func (e *Entry) chooser(service string) *balance.Chooser {
-	if c, ok := e.choosers.Load(service); ok {
-		return c.(*balance.Chooser)
-	}
-	c, _ := e.choosers.LoadOrStore(service, balance.NewChooser())
-	return c.(*balance.Chooser)
-}
-
 // to sends a request along route.
 func (e *Entry) to(ctx context.Context, route member.Route, c *call, sink *responseSink) outcome.Result {
 	sink.owner = route.Caller.String()
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -38,7 +38,6 @@
 	"net/url"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -49,6 +48,7 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
+	"siskinknot/core/balance"
 	"siskinknot/core/outcome"
 	"siskinknot/core/request"
 	"siskinknot/core/retry"
@@ -77,14 +77,13 @@
 
 // Entry serves callers. It is safe for concurrent use.
 type Entry struct {
-	member  *member.Member
-	runner  *target.Runner
-	pool    *peer.Pool
-	tracer  trace.Tracer
-	metrics metrics
-	budget  *retry.Budget
-	// choosers maps the name of a shared service to its *balance.Chooser.
-	choosers sync.Map
+	member   *member.Member
+	runner   *target.Runner
+	pool     *peer.Pool
+	tracer   trace.Tracer
+	metrics  metrics
+	budget   *retry.Budget
+	choosers balance.Choosers
 }
 
 // metrics are the counters of an Entry.
@@ -296,28 +295,14 @@
 	return nil
 }
 
-// hopByHop are the headers that concern one connection only.
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
-	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
-}
-
-// endToEnd returns the headers that are passed on.
+// endToEnd returns the headers that are passed on: those of this system are not.
 func endToEnd(h http.Header) http.Header {
-	out := make(http.Header, len(h))
-	for name, values := range h {
-		if !strings.HasPrefix(name, headerPrefix) {
-			out[name] = values
+	out := forward.EndToEnd(h)
+	for name := range out {
+		if strings.HasPrefix(name, headerPrefix) {
+			delete(out, name)
 		}
 	}
-	for _, names := range h["Connection"] {
-		for _, name := range strings.Split(names, ",") {
-			out.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHop {
-		delete(out, name)
-	}
 	return out
 }
 
--- a/io/mesh/entry.go
+++ b/io/mesh/entry.go
@@ -9,7 +9,6 @@
 	"net/netip"
 	"slices"
 	"strconv"
-	"sync"
 	"time"
 
 	"siskinknot/core/balance"
@@ -91,20 +90,6 @@
 	Status int
 }
 
-// choosers holds the Chooser of each shared service.
-type choosers struct{ byService *sync.Map }
-
-func newChoosers() choosers { return choosers{byService: &sync.Map{}} }
-
-// of returns the Chooser of a service.
-func (c choosers) of(service string) *balance.Chooser {
-	if found, ok := c.byService.Load(service); ok {
-		return found.(*balance.Chooser)
-	}
-	found, _ := c.byService.LoadOrStore(service, balance.NewChooser())
-	return found.(*balance.Chooser)
-}
-
 // Sink receives an answer.
 type Sink interface {
 	forward.Sink
@@ -288,7 +273,7 @@
 	for _, addr := range candidates {
 		ids = append(ids, record.Incarnation(addr.String()))
 	}
-	chooser := m.choosers.of(c.head.Service)
+	chooser := m.choosers.Of(c.head.Service)
 	chosen := chooser.Pick(now, balance.TwoChoices, ids)
 	addr := netip.MustParseAddrPort(string(chosen))
 	c.tried = append(c.tried, addr)
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -43,6 +43,7 @@
 	"github.com/uber-go/tally/v4"
 	"gopkg.in/tomb.v2"
 
+	"siskinknot/core/balance"
 	"siskinknot/core/directory"
 	"siskinknot/core/outcome"
 	"siskinknot/core/placement"
@@ -182,7 +183,7 @@
 	// contacts are the daemons that have called: one of them may reach the store
 	// when this one does not.
 	contacts map[netip.AddrPort]contact
-	choosers choosers
+	choosers balance.Choosers
 	storeOK  bool
 	// moving is set while keys are passed on, and draining while no grant may
 	// be renewed because all of them are to be.
@@ -210,7 +211,6 @@
 		heat:      placement.NewHeat(now),
 		loads:     map[netip.AddrPort]report{},
 		contacts:  map[netip.AddrPort]contact{},
-		choosers:  newChoosers(),
 		storeOK:   true,
 
 		decodeConfig: deps.DecodeConfig,
--- a/standin/meshfleet/meshfleet.go
+++ b/standin/meshfleet/meshfleet.go
@@ -17,7 +17,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -33,6 +32,7 @@
 
 	"siskinknot/standin/keyserver"
 	"siskinknot/standin/metastore"
+	"siskinknot/standin/processes"
 )
 
 // Names of the services and the host, as the operator's document has them.
@@ -185,7 +185,7 @@
 
 // WaitServing waits until every daemon is ready and every key is served.
 func (f *Fleet) WaitServing(ctx context.Context) error {
-	return until(ctx, func() string {
+	return processes.Until(ctx, func() string {
 		for _, vm := range f.VMs {
 			if !vm.Ready(ctx) {
 				return fmt.Sprintf("daemon %s is not ready", vm.ip)
@@ -200,21 +200,6 @@
 	})
 }
 
-// until waits until cond returns "", and otherwise returns what it said last.
-func until(ctx context.Context, cond func() string) error {
-	for {
-		problem := cond()
-		if problem == "" {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return errors.New(problem)
-		case <-time.After(20 * time.Millisecond):
-		}
-	}
-}
-
 // start starts the VM's server and daemon.
 func (vm *VM) start() error {
 	if err := vm.StartServer(); err != nil {
