Measure decaying rates in one place

Cause: the demand of a target and the use of it by each rank were the same sum with a half-life, written twice.

Heat has the same formula over 8,192 sums whose weight it scales as one, and stays.

--- a/core/scheduling/scheduling.go
+++ b/core/scheduling/scheduling.go
@@ -36,11 +36,11 @@
 
 import (
 	"context"
-	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
 
+	"siskinknot/core/decay"
 	"siskinknot/core/outcome"
 )
 
@@ -87,18 +87,8 @@
 	late     []*waiter
 	// credit is target time that is owed to this rank, in seconds.
 	credit float64
-	// used is the target time used lately, in seconds, as of usedAt.
-	used   float64
-	usedAt time.Time
-}
-
-// usage returns how many slots the rank has used on average lately.
-func (r *rank) usage(now time.Time) float64 {
-	if passed := now.Sub(r.usedAt); passed > 0 {
-		r.used *= math.Exp2(-passed.Seconds() / usageHalfLife.Seconds())
-		r.usedAt = now
-	}
-	return r.used / (usageHalfLife.Seconds() / math.Ln2)
+	// used is the target time used lately.
+	used decay.Rate
 }
 
 // Scheduler schedules the requests of one target. It is safe for concurrent use.
@@ -182,7 +172,7 @@
 func (s *Scheduler) enter(now time.Time, req Request) (*waiter, outcome.Result) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r := s.rankOf(req.Priority, now)
+	r := s.rankOf(req.Priority)
 	if s.hasRoom() && !s.anyWaiting() {
 		s.begin(now, r, req.Route)
 		return nil, nil
@@ -218,14 +208,14 @@
 }
 
 // rankOf returns the rank of a priority.
-func (s *Scheduler) rankOf(priority int, now time.Time) *rank {
+func (s *Scheduler) rankOf(priority int) *rank {
 	at := 0
 	for ; at < len(s.ranks) && s.ranks[at].priority <= priority; at++ {
 		if s.ranks[at].priority == priority {
 			return s.ranks[at]
 		}
 	}
-	r := &rank{priority: priority, usedAt: now}
+	r := &rank{priority: priority, used: decay.Rate{HalfLife: usageHalfLife}}
 	s.ranks = append(s.ranks[:at], append([]*rank{r}, s.ranks[at:]...)...)
 	return r
 }
@@ -264,7 +254,7 @@
 			work += s.serviceTime(w.Route)
 		}
 		if other != r {
-			higher += other.usage(now)
+			higher += other.used.PerSecond(now)
 		}
 	}
 	slots := max(s.limit-higher, s.limit*lowerShare, 1)
@@ -275,8 +265,7 @@
 func (s *Scheduler) begin(now time.Time, r *rank, route string) {
 	s.running++
 	service := s.serviceTime(route).Seconds()
-	r.usage(now)
-	r.used += service
+	r.used.Add(now, service)
 	r.credit = max(0, r.credit-service)
 	for _, lower := range s.ranks {
 		if lower.priority > r.priority && len(lower.queue) > 0 {
@@ -359,7 +348,7 @@
 // back.
 func (s *Scheduler) abandon(w *waiter, now time.Time, res outcome.Result) (*Permit, outcome.Result) {
 	s.mu.Lock()
-	r := s.rankOf(w.Priority, now)
+	r := s.rankOf(w.Priority)
 	removed := remove(&r.queue, w) || remove(&r.late, w)
 	s.mu.Unlock()
 	if removed {
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -209,6 +209,7 @@
 		changed:   make(chan struct{}),
 		wake:      make(chan struct{}, 1),
 		heat:      placement.NewHeat(now),
+		demand:    newDemand(),
 		loads:     map[netip.AddrPort]report{},
 		contacts:  map[netip.AddrPort]contact{},
 		storeOK:   true,
--- a/io/mesh/move.go
+++ b/io/mesh/move.go
@@ -138,7 +138,8 @@
 	if err == nil {
 		m.mu.Lock()
 		now := boottime.Now()
-		m.demand.moved(now, m.heat.Demand(now, h.First, h.Last))
+		// Their requests will not come here any more.
+		m.demand.asked.Take(now, m.heat.Demand(now, h.First, h.Last))
 		m.mu.Unlock()
 	}
 	m.log.Info("keys passed on", "first", h.First, "last", h.Last, "to", to, "warm", handover != "",
