--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -189,6 +189,8 @@
 	// be renewed because all of them are to be.
 	moving   bool
 	draining bool
+	// fetching is set while what others know is taken from one of them.
+	fetching bool
 }
 
 // New returns a Mesh and starts its tasks.
--- a/io/mesh/sync.go
+++ b/io/mesh/sync.go
@@ -54,6 +54,9 @@
 	storeTimeout = 700 * time.Millisecond
 	// peerTimeout bounds a control call to another daemon.
 	peerTimeout = 250 * time.Millisecond
+	// fetchTimeout bounds a call for the directory or the configuration, which are
+	// larger than other answers. A daemon that is that slow still gets them.
+	fetchTimeout = time.Second
 	// relayTimeout bounds a call to the store through another daemon.
 	relayTimeout = storeTimeout + peerTimeout
 	// relayPeers is how many daemons are asked, one after the other, and
@@ -368,14 +371,26 @@
 }
 
 // fetch takes the directory and the configuration from a daemon that has later
-// ones.
+// ones, unless they are being taken from another: each heartbeat shows anew that
+// this daemon is behind, and one that hardly gets to run would spend all its time
+// on the same answers.
 func (m *Mesh) fetch(addr netip.AddrPort, end, version uint64) {
 	m.mu.Lock()
 	needDir := end > m.dir.End()
 	needConfig := m.table == nil || version > m.table.Version
+	if m.fetching || (!needDir && !needConfig) {
+		m.mu.Unlock()
+		return
+	}
+	m.fetching = true
 	m.mu.Unlock()
+	defer func() {
+		m.mu.Lock()
+		m.fetching = false
+		m.mu.Unlock()
+	}()
 	if needDir {
-		ctx, cancel := m.timeout(peerTimeout)
+		ctx, cancel := m.timeout(fetchTimeout)
 		reply, err := m.pool.Ask(ctx, addr, &peerpb.Call{Kind: &peerpb.Call_Snapshot{Snapshot: &peerpb.Snapshot{}}})
 		cancel()
 		if err == nil && reply.Update != nil {
--- a/io/targetconn/targetconn.go
+++ b/io/targetconn/targetconn.go
@@ -32,6 +32,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"siskinknot/io/tcp"
 )
 
 const (
@@ -103,7 +105,7 @@
 // Client keeps connections to one target. It is safe for concurrent use.
 type Client struct {
 	cfg    Config
-	dialer net.Dialer
+	dialer *net.Dialer
 
 	mu     sync.Mutex
 	idle   []*conn
@@ -112,7 +114,7 @@
 
 // New returns a Client without connections.
 func New(cfg Config) *Client {
-	return &Client{cfg: cfg, dialer: net.Dialer{Timeout: dialTimeout}}
+	return &Client{cfg: cfg, dialer: tcp.Dialer(netip.Addr{}, dialTimeout)}
 }
 
 // conn is a connection to the target.
--- a/standin/metastore/metastore.go
+++ b/standin/metastore/metastore.go
@@ -4,7 +4,8 @@
 // left out, since the product uses neither.
 //
 // Faults can be set: the store may be down for all callers or for some, slow,
-// lose answers to appends, carry appends out late, and forget its history.
+// lose answers to appends, carry appends out late, and forget its history; the
+// connections that are open may go silent while new ones work.
 //
 // # Usage
 //
@@ -15,13 +16,16 @@
 package metastore
 
 import (
+	"context"
 	"encoding/base64"
 	"encoding/binary"
 	"encoding/json"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -84,8 +88,14 @@
 	calls  int
 	server *http.Server
 	rng    *rand.Rand
+	// connections counts those that were opened, and the first silent ones of
+	// them answer nothing any more.
+	connections, silent int
 }
 
+// connectionNumber is the key of a connection's number in its context.
+type connectionNumber struct{}
+
 // New returns an empty store.
 func New(seed uint64) *Store {
 	s := &Store{topics: map[string]*topic{}, rng: rand.New(rand.NewPCG(seed, 2))}
@@ -93,7 +103,12 @@
 	mux.HandleFunc("POST /siskinknot/log-append", s.faulty(s.append))
 	mux.HandleFunc("GET /siskinknot/log-read", s.faulty(s.read))
 	mux.HandleFunc("GET /siskinknot/log-newest", s.faulty(s.newest))
-	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
+	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute, ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.connections++
+		return context.WithValue(ctx, connectionNumber{}, s.connections)
+	}}
 	return s
 }
 
@@ -120,6 +135,22 @@
 	s.fault = f
 }
 
+// Silence makes the connections that are open now answer nothing any more, and
+// not close either.
+func (s *Store) Silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = s.connections
+}
+
+// isSilent reports whether nothing is to be answered on r's connection.
+func (s *Store) isSilent(r *http.Request) bool {
+	number, _ := r.Context().Value(connectionNumber{}).(int)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return number > 0 && number <= s.silent
+}
+
 // Calls returns how many calls there have been.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -186,7 +217,14 @@
 			return
 		}
 		time.Sleep(f.Slow)
-		handler(w, r)
+		answer := httptest.NewRecorder()
+		handler(answer, r)
+		if s.isSilent(r) {
+			refuse(w, r, Silent)
+		}
+		maps.Copy(w.Header(), answer.Header())
+		w.WriteHeader(answer.Code)
+		_, _ = w.Write(answer.Body.Bytes())
 	}
 }
 
