Close connections and streams that nobody uses any more

Cause: the daemon never closed idle connections of callers (limits.idle_timeout_ms was decoded and not used), kept up to 256 idle streams a session for as long as the session was in use, and kept the connections of a busy time to its target until they were taken again.

Change: tcp.IdleLimit closes callers' connections by the limit in force; the least recently used stream of a session and connection to the target go when they have not been used for 3 s, or longer than the target keeps them.

--- a/cmd/siskinknot/mesh.go
+++ b/cmd/siskinknot/mesh.go
@@ -21,6 +21,7 @@
 	"siskinknot/io/logwriter"
 	"siskinknot/io/mesh"
 	"siskinknot/io/peer"
+	"siskinknot/io/tcp"
 	"siskinknot/io/telemetry"
 	"siskinknot/platform"
 )
@@ -117,6 +118,8 @@
 	watch     *platform.ConfigWatch
 	servers   []*http.Server
 	callers   *http.Server
+	// idle closes the connections that callers have ceased to use.
+	idle *tcp.IdleLimit
 }
 
 // startNode makes the parts of a daemon and connects them.
@@ -166,6 +169,7 @@
 		{n.cfg.Heartbeat, platform.Heartbeats(n.mesh, n.cfg.Target, n.cfg.Service, n.log.Named("target"))},
 		{n.cfg.Metrics, n.telemetry.Metrics},
 	}
+	n.idle = tcp.NewIdleLimit(n.idleTimeout)
 	for _, i := range interfaces {
 		if !i.addr.IsValid() {
 			continue
@@ -177,6 +181,7 @@
 		server := &http.Server{
 			Handler:           i.handler,
 			ReadHeaderTimeout: headerTimeout,
+			ConnState:         n.idle.Note,
 			ErrorLog:          n.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 		}
 		n.servers = append(n.servers, server)
@@ -190,6 +195,16 @@
 	return nil
 }
 
+// idleTimeout returns how long a connection may be idle, by the configuration in
+// force.
+func (n *node) idleTimeout() time.Duration {
+	table := n.mesh.Table()
+	if table == nil {
+		return 0
+	}
+	return table.Limits.IdleTimeout
+}
+
 const (
 	// headerTimeout bounds the reading of a request's header.
 	headerTimeout = 10 * time.Second
@@ -230,6 +245,7 @@
 	for _, server := range n.servers {
 		_ = server.Close()
 	}
+	_ = n.idle.Close()
 	_ = n.watch.Close()
 	_ = n.mesh.Close()
 	_ = n.peers.Close()
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -81,8 +81,11 @@
 	handshakeTimeout = time.Second
 	// pingTimeout bounds a ping and a blocked write.
 	pingTimeout = 600 * time.Millisecond
-	// maxIdleStreams is the most streams of a session that are kept.
-	maxIdleStreams = 256
+	// maxIdleStreams is the most streams of a session that are kept, and
+	// streamIdleLimit for how long: each costs two tasks and buffers on the
+	// other side, and opening one costs no round trip.
+	maxIdleStreams  = 256
+	streamIdleLimit = 3 * time.Second
 )
 
 // NewIncarnation returns a name for a run of the daemon of server.
@@ -110,8 +113,10 @@
 type Stream struct {
 	raw *yamux.Stream
 	in  *bufio.Reader
-	// session is the session of the side that makes the calls.
-	session *session
+	// session is the session of the side that makes the calls, and idleSince
+	// when its last call ended.
+	session   *session
+	idleSince time.Time
 }
 
 func newStream(raw *yamux.Stream) *Stream {
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -79,6 +79,34 @@
 	}
 }
 
+// TestUnusedStreamsAreClosed opens streams for calls at the same time, and checks
+// that later calls, one after the other, leave one.
+func TestUnusedStreamsAreClosed(t *testing.T) {
+	const atOnce = 8
+	pool, addr := pair(t)
+	open := func() *Stream {
+		stream, err := pool.Open(context.Background(), addr, Requests)
+		require.NoError(t, err)
+		return stream
+	}
+	streams := make([]*Stream, atOnce)
+	for i := range streams {
+		streams[i] = open()
+	}
+	s := streams[0].session
+	for _, stream := range streams {
+		stream.Done()
+	}
+	require.Len(t, s.idle, atOnce)
+	for _, stream := range s.idle {
+		stream.idleSince = stream.idleSince.Add(-2 * streamIdleLimit)
+	}
+	for range atOnce {
+		open().Done()
+	}
+	require.Len(t, s.idle, 1)
+}
+
 func TestClosingCancels(t *testing.T) {
 	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
 	t.Run("hang", func(t *testing.T) {
--- a/io/peer/pool.go
+++ b/io/peer/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -66,16 +67,23 @@
 	return stream, nil
 }
 
-// putStream keeps a stream whose last call has ended in good order.
+// putStream keeps a stream whose last call has ended in good order. The stream
+// that was used last is used first: one at the other end that has not been used
+// for streamIdleLimit is left from a busier time, and goes.
 func (s *session) putStream(stream *Stream) {
+	now := time.Now()
+	stream.idleSince = now
 	s.mu.Lock()
-	if len(s.idle) < maxIdleStreams {
-		s.idle = append(s.idle, stream)
-		s.mu.Unlock()
-		return
+	s.idle = append(s.idle, stream)
+	var unused *Stream
+	if oldest := s.idle[0]; len(s.idle) > maxIdleStreams || now.Sub(oldest.idleSince) > streamIdleLimit {
+		unused = oldest
+		s.idle = slices.Delete(s.idle, 0, 1)
 	}
 	s.mu.Unlock()
-	_ = stream.Close()
+	if unused != nil {
+		_ = unused.Close()
+	}
 }
 
 // busy returns the number of streams with a call under way.
--- a/io/targetconn/targetconn.go
+++ b/io/targetconn/targetconn.go
@@ -25,6 +25,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -172,7 +173,7 @@
 		cn := c.idle[n-1]
 		c.idle = c.idle[:n-1]
 		c.mu.Unlock()
-		if time.Since(cn.idleSince) < cn.keep && cn.quiet() {
+		if cn.keeps(time.Now()) && cn.quiet() {
 			return cn, nil
 		}
 		_ = cn.Close()
@@ -184,18 +185,28 @@
 	return &conn{Conn: raw, in: bufio.NewReaderSize(raw, bufferBytes), keep: defaultIdle}, nil
 }
 
-// put keeps cn for a later exchange.
+// put keeps cn for a later exchange. The connection that was used last is used
+// first, so that those of a busy time would stay at the other end for ever: the
+// oldest goes once its time is over.
 func (c *Client) put(cn *conn) {
-	cn.idleSince = time.Now()
+	now := time.Now()
+	cn.idleSince = now
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
 		_ = cn.Close()
 		return
 	}
+	if len(c.idle) > 0 && !c.idle[0].keeps(now) {
+		_ = c.idle[0].Close()
+		c.idle = slices.Delete(c.idle, 0, 1)
+	}
 	c.idle = append(c.idle, cn)
 }
 
+// keeps reports whether the target keeps the connection, which is idle, at now.
+func (c *conn) keeps(now time.Time) bool { return now.Sub(c.idleSince) < c.keep }
+
 // quiet reports whether the connection is open and has nothing to read.
 func (c *conn) quiet() bool {
 	if c.in.Buffered() > 0 {
--- a/io/targetconn/targetconn_test.go
+++ b/io/targetconn/targetconn_test.go
@@ -118,6 +118,31 @@
 	}
 }
 
+// TestUnusedConnectionsAreClosed keeps connections of a busy time, and checks that
+// later exchanges, one after the other, leave one.
+func TestUnusedConnectionsAreClosed(t *testing.T) {
+	const kept = 4
+	var answers []string
+	for i := range kept {
+		answers = append(answers, ok(fmt.Sprint(i), "a"))
+	}
+	c, _ := scripted(t, answers...)
+	for range kept {
+		raw, err := c.dialer.Dial("tcp", c.cfg.Address.String())
+		require.NoError(t, err)
+		c.put(&conn{Conn: raw, in: bufio.NewReader(raw), keep: defaultIdle})
+	}
+	require.Len(t, c.idle, kept)
+	for _, cn := range c.idle[:kept-1] {
+		cn.idleSince = cn.idleSince.Add(-2 * defaultIdle)
+	}
+	for i := range kept {
+		_, err := get(c, fmt.Sprint(i))
+		require.NoError(t, err)
+	}
+	require.Len(t, c.idle, 1)
+}
+
 // TestSent checks what is said of a request that got no answer.
 func TestSent(t *testing.T) {
 	closed, err := net.Listen("tcp", "127.0.0.1:0")
--- a/io/tcp/tcp.go
+++ b/io/tcp/tcp.go
@@ -1,4 +1,5 @@
-// Package tcp opens connections that notice when the other side is gone.
+// Package tcp opens connections that notice when the other side is gone, and
+// closes those of a server that have been idle for too long (IdleLimit).
 //
 // A connection may go silent for good: a VM has lost power, or something on the
 // way has forgotten the connection, while new connections to the same address
@@ -12,6 +13,9 @@
 //
 //	dialer := tcp.Dialer(netip.Addr{}, 500*time.Millisecond)
 //	conn, err := dialer.DialContext(ctx, "tcp", address)
+//
+//	idle := tcp.NewIdleLimit(func() time.Duration { return table.Limits.IdleTimeout })
+//	server := &http.Server{ConnState: idle.Note}
 package tcp
 
 import (
