Let daemons of shared services restart without the store

With a slow store the three calls of a whole read did not fit into the limit of one call, so that the service was short of a server until the store was quick again.

Change: such a member keeps its entry; entries of fenced members without keys are kept for 10 s; a new process takes directory and configuration from the first member that calls it, and its reports count before its entry is active again; a whole read has the limit of three calls. The read-first rule of leases stays (package tenure).

Ruled out: believing any fresh report of a fenced member.

--- a/io/mesh/entry.go
+++ b/io/mesh/entry.go
@@ -294,7 +294,7 @@
 	var again []netip.AddrPort
 	for _, member := range m.dir.MembersOf(c.head.Service) {
 		r, known := m.loads[member.Address]
-		if member.State != directory.Active || (known && (!r.Accepting || now.Sub(r.at) > reportLimit)) {
+		if (known && !(r.Accepting && now.Sub(r.at) <= reportLimit)) || !m.reachable(member, r.at) {
 			continue
 		}
 		if slices.Contains(c.tried, member.Address) {
@@ -312,6 +312,14 @@
 	return all, local
 }
 
+// reachable reports whether member, which was last heard at heardAt, is active or
+// has come back since it was fenced: its reports come before its entry says so.
+// The caller holds the mutex.
+func (m *Mesh) reachable(member *directory.Member, heardAt time.Time) bool {
+	since, fenced := m.book.FencedSince(member.Address)
+	return member.State == directory.Active || (fenced && heardAt.After(since))
+}
+
 // to sends a request to the daemon at addr, or runs it here.
 func (m *Mesh) to(ctx context.Context, addr netip.AddrPort, c *call) outcome.Result {
 	body := c.req.Body.attempt()
--- a/io/mesh/guard.go
+++ b/io/mesh/guard.go
@@ -21,6 +21,10 @@
 	rankDelay = 400 * time.Millisecond
 	// orphanLimit is the silence after which any member acts.
 	orphanLimit = 5 * tenure.SilenceLimit
+	// emptyLimit is how long the entry of a fenced member without keys is kept:
+	// others go on calling it, so that its next process learns the directory from
+	// them. A restart takes a second or two.
+	emptyLimit = 10 * time.Second
 )
 
 // guard is the task that fences silent members and passes on their keys.
@@ -171,6 +175,10 @@
 		return
 	}
 	may := m.book.MayTake(now, m.dir, addr)
+	if len(m.dir.OwnedBy(addr)) == 0 && now.Sub(since) < emptyLimit {
+		m.mu.Unlock()
+		return
+	}
 	m.mu.Unlock()
 	if may {
 		m.logIf("take", m.commit("take", func(dir *directory.Directory) []directory.Entry {
--- a/io/mesh/move.go
+++ b/io/mesh/move.go
@@ -239,7 +239,9 @@
 }
 
 // Leave passes this member's keys on and takes its entry out of the directory. It
-// reports whether that was done before ctx ended. Requests are served meanwhile.
+// reports whether that was done before ctx ended. Requests are served meanwhile. A
+// member of a shared service whose target stays keeps its entry: it has no keys,
+// and its next process serves as soon as another member tells it the directory.
 func (m *Mesh) Leave(ctx context.Context) bool {
 	m.mu.Lock()
 	m.leaving = true
@@ -252,6 +254,12 @@
 	if ctx.Err() != nil {
 		return false
 	}
+	m.mu.Lock()
+	returns := !m.divided() && m.target.accepting()
+	m.mu.Unlock()
+	if returns {
+		return true
+	}
 	err := m.commit("leave", func(dir *directory.Directory) []directory.Entry {
 		me := dir.Member(m.cfg.Self)
 		if me == nil || len(dir.OwnedBy(m.cfg.Self)) > 0 {
--- a/io/mesh/sync.go
+++ b/io/mesh/sync.go
@@ -52,6 +52,9 @@
 	// storeTimeout bounds a call to the store. In ordinary times it takes a few
 	// milliseconds; in slow ones some hundreds.
 	storeTimeout = 700 * time.Millisecond
+	// wholeReadTimeout bounds a read of the whole directory, which takes three
+	// calls one after the other.
+	wholeReadTimeout = 3 * storeTimeout
 	// peerTimeout bounds a control call to another daemon.
 	peerTimeout = 250 * time.Millisecond
 	// fetchTimeout bounds a call for the directory or the configuration, which are
@@ -89,16 +92,29 @@
 		return false // the directory moved on meanwhile, in a way that u does not continue
 	}
 	m.book.ReadStore(sentAt)
-	if !m.loaded {
-		m.loaded = true
-		m.log.Info("directory read", "version", m.dir.End(), "members", len(m.dir.Members()))
-	}
+	m.noteLoaded("store")
 	return true
 }
 
+// noteLoaded notes that the directory is known, from the store or from another
+// daemon. What another one says is enough to send requests on and to run those of
+// a shared service; a lease needs a read of the store (package tenure). The caller
+// holds the mutex.
+func (m *Mesh) noteLoaded(source string) {
+	if m.loaded {
+		return
+	}
+	m.loaded = true
+	m.log.Info("directory read", "version", m.dir.End(), "members", len(m.dir.Members()), "source", source)
+}
+
 // readStore reads the directory directly or through a peer.
 func (m *Mesh) readStore(since uint64) (directory.Update, error) {
-	ctx, cancel := m.timeout(storeTimeout)
+	limit := storeTimeout
+	if since == 0 {
+		limit = wholeReadTimeout
+	}
+	ctx, cancel := m.timeout(limit)
 	u, err := m.store.Read(ctx, since)
 	cancel()
 	m.metrics.storeReads.Inc(1)
@@ -209,17 +225,18 @@
 	}
 }
 
-// apply brings the directory up to date and follows what changed. The caller
-// holds the mutex.
-func (m *Mesh) apply(now time.Time, u directory.Update) {
+// apply brings the directory up to date, follows what changed, and reports whether
+// anything did. The caller holds the mutex.
+func (m *Mesh) apply(now time.Time, u directory.Update) bool {
 	if !m.dir.Apply(u) {
-		return
+		return false
 	}
 	m.book.Observe(now, m.dir)
 	m.noteJoins(now)
 	m.syncHoldings(now)
 	m.budget.SetBurst(m.retryBurst())
 	m.notify()
+	return true
 }
 
 // noteJoins gives members whose entry has changed the time to send heartbeats:
@@ -395,7 +412,9 @@
 		cancel()
 		if err == nil && reply.Update != nil {
 			m.mu.Lock()
-			m.apply(boottime.Now(), fromUpdate(reply.Update))
+			if m.apply(boottime.Now(), fromUpdate(reply.Update)) {
+				m.noteLoaded("peer")
+			}
 			m.mu.Unlock()
 		}
 	}
--- a/io/mesh/tend.go
+++ b/io/mesh/tend.go
@@ -116,7 +116,7 @@
 	if !t.read.due(now) {
 		return false
 	}
-	if !m.loaded || now.Sub(m.book.ReadAt()) > readEvery {
+	if now.Sub(m.book.ReadAt()) > readEvery {
 		return true
 	}
 	member := m.dir.Member(m.cfg.Self)
--- a/test/mesh/mesh_test.go
+++ b/test/mesh/mesh_test.go
@@ -315,6 +315,46 @@
 	f.allKeysServed(f.VMs[1])
 }
 
+// TestSharedRestart stops the only daemon of the shared service and starts it
+// again while the store is slow or away, and checks how soon it serves: it needs
+// nothing that other daemons cannot tell it.
+func TestSharedRestart(t *testing.T) {
+	const promised = 2 * time.Second
+	for _, row := range []struct {
+		name  string
+		fault metastore.Fault
+		stop  syscall.Signal
+	}{
+		{"stopped, slow store", metastore.Fault{Slow: 300 * time.Millisecond}, syscall.SIGTERM},
+		{"killed, slow store", metastore.Fault{Slow: 300 * time.Millisecond}, syscall.SIGKILL},
+		{"stopped, no store", metastore.Fault{Down: metastore.Silent}, syscall.SIGTERM},
+		{"killed, no store", metastore.Fault{Down: metastore.Silent}, syscall.SIGKILL},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
+			f := start(t, 3, 1)
+			f.load(f.VMs[0])
+			shared := f.VMs[3]
+			f.Store.SetFault(row.fault)
+			shared.Signal(row.stop)
+			shared.Wait()
+			if err := shared.StartDaemon(); err != nil {
+				t.Fatal(err)
+			}
+			began := time.Now()
+			for !f.send(f.VMs[0], meshfleet.Upload(1<<10)).Whole() {
+				if time.Since(began) > patience {
+					t.Fatalf("the shared service is not served after %v", patience)
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+			if took := time.Since(began); took > promised {
+				t.Errorf("the shared service is served after %v, want %v", took, promised)
+			}
+		})
+	}
+}
+
 // TestAllKilled ends all daemons at once and starts them again.
 func TestAllKilled(t *testing.T) {
 	const promised = 3 * time.Second
