--- a/io/mesh/entry.go
+++ b/io/mesh/entry.go
@@ -294,7 +294,7 @@
 	var again []netip.AddrPort
 	for _, member := range m.dir.MembersOf(c.head.Service) {
 		r, known := m.loads[member.Address]
-		if (known && !(r.Accepting && now.Sub(r.at) <= reportLimit)) || !m.reachable(member, r.at) {
+		if (known && (!r.Accepting || now.Sub(r.at) > reportLimit)) || !m.reachable(member, r.at) {
 			continue
 		}
 		if slices.Contains(c.tried, member.Address) {
