Count the heat of keys by what is asked for, and spread it over several targets

Cause: an overloaded owner picked the part to pass on by the target time that its target had spent on each stretch of keys. Of a stretch that asks for twice what the target can do that is half, so that the part was too large, overloaded the next owner, and had to rest there before it could be divided. And an owner passed work to one receiver in a plan, 0.4 of its slots at most, though a hot stretch is two to three times as much as a target can take.

The choice of the part is Heat.Choose in core.

Ruled out: planning each 250 ms from 1.1 of the mean.

--- a/core/placement/heat.go
+++ b/core/placement/heat.go
@@ -5,16 +5,16 @@
 // It answers load that is uneven and shifts: a few neighbouring keys that draw
 // much of the traffic, targets of different speed, targets that come and go. A
 // planner compares the demand that members report, a bounded message from each,
-// and asks an overloaded owner to pass an amount of work to the one with most
-// room (Plan). The owner alone knows the work of each stretch of its keys (Heat)
-// and picks the part that fits (Heat.Pick), so that no report grows with the
-// number of keys.
+// and asks an overloaded owner to pass amounts of work to those with most room
+// (Plan). The owner alone knows the work of each stretch of its keys (Heat) and
+// picks the parts that fit (Heat.Choose), so that no report grows with the number
+// of keys.
 //
 // # Usage
 //
-//	heat.Add(now, key, busy)
-//	moves := placement.Plan(now, loads)
-//	part, ok := heat.Pick(now, first, last, demand)
+//	heat.Add(now, key, demand.Arrived(now, class))
+//	moves := placement.Plan(loads)
+//	i, part, ok := heat.Choose(now, ranges, len(ranges), move.Demand)
 package placement
 
 import (
@@ -29,11 +29,20 @@
 	buckets    = 65536 / bucketKeys
 	// heatHalfLife is the time in which old work counts half: a hot stretch has
 	// to show within a second, and one request more or less may not.
-	heatHalfLife = 1500 * time.Millisecond
+	heatHalfLife = time.Second
+	// mostRanges is how many ranges a member may have before only whole ones are
+	// moved: each is a grant to renew.
+	mostRanges = 24
 )
 
-// Heat holds how much target time each stretch of keys has used lately. It is
-// not safe for concurrent use.
+// RestTime is how long keys stay after a move before they may move again: a
+// stretch that is busy enough to overload its next owner would go from one to the
+// other, and its callers wait each time.
+const RestTime = time.Second
+
+// Heat holds how much target time each stretch of keys has been asked for lately,
+// as Demand counts it: of a stretch that is busier than its target, what the
+// target has done shows a part only. It is not safe for concurrent use.
 type Heat struct {
 	busy    [buckets]float32
 	scaleAt time.Time
@@ -44,7 +53,7 @@
 // NewHeat returns a Heat without any work.
 func NewHeat(now time.Time) *Heat { return &Heat{scaleAt: now, scale: 1} }
 
-// Add notes that a request for key used busy of the target's time.
+// Add notes that a request for key asks for busy of the target's time.
 func (h *Heat) Add(now time.Time, key uint16, busy time.Duration) {
 	h.advance(now)
 	h.busy[key/bucketKeys] += float32(busy.Seconds() * h.scale)
@@ -74,7 +83,8 @@
 	return sum / h.scale / window
 }
 
-// Demand returns the target time a second that the keys from first to last use.
+// Demand returns the target time a second that the keys from first to last are
+// asked for.
 func (h *Heat) Demand(now time.Time, first, last uint16) float64 {
 	h.advance(now)
 	sum := 0.0
@@ -84,13 +94,13 @@
 	return h.perSecond(sum)
 }
 
-// Stretch is a range of keys and the target time a second that it uses.
+// Stretch is a range of keys and the target time a second that it is asked for.
 type Stretch struct {
 	First, Last uint16
 	Demand      float64
 }
 
-// Pick returns the narrowest stretch between first and last that uses about
+// Pick returns the narrowest stretch between first and last that is asked for about
 // demand target time a second, between three quarters and one and a quarter of
 // it. Narrow stretches move few keys: what makes a target busy is mostly a few
 // neighbours. It reports false if there is none, or only the whole range.
@@ -120,6 +130,28 @@
 	return best, found
 }
 
+// Choose picks the part of one of ranges that is to move, if about demand is to:
+// the narrowest that Pick finds, or a whole range that uses so much. owned is how
+// many ranges the member has in all. It returns the range's place in the list.
+func (h *Heat) Choose(now time.Time, ranges []Stretch, owned int, demand float64) (int, Stretch, bool) {
+	const least, most = 0.5, 1.25 // of the demand, in a whole range
+	var best Stretch
+	from := -1
+	for i, r := range ranges {
+		s, ok := h.Pick(now, r.First, r.Last, demand)
+		if whole := h.Demand(now, r.First, r.Last); !ok && whole > least*demand && whole < most*demand && owned > 1 {
+			s, ok = Stretch{First: r.First, Last: r.Last, Demand: whole}, true
+		}
+		if ok && (from < 0 || s.Last-s.First < best.Last-best.First) {
+			best, from = s, i
+		}
+	}
+	if from < 0 || (owned > mostRanges && best.Last-best.First != ranges[from].Last-ranges[from].First) {
+		return 0, Stretch{}, false
+	}
+	return from, best, true
+}
+
 // Divide cuts the range from first to last into one stretch for each weight, in
 // order, whose work is in the ratio of the weights. A stretch that would get no
 // keys has its First after its Last. Stretches without any work are cut by their
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -22,6 +22,9 @@
 	mostMove = 0.4
 )
 
+// MostMoves is how many moves an owner makes at a time.
+const MostMoves = 3
+
 // Load is what a member reports of the target beside it.
 type Load struct {
 	Member    netip.AddrPort
@@ -60,9 +63,10 @@
 	Demand   float64
 }
 
-// Plan returns the moves that even out the loads of one service's targets. Each
-// target takes part in one move at most, since what a move did shows only in the
-// next reports.
+// Plan returns the moves that even out the loads of one service's targets. An
+// overloaded owner passes work to up to MostMoves receivers, down to the mean: a
+// hot stretch is more than one of them can take. Each receiver takes part in one
+// move, since what a move did shows only in the next reports.
 func Plan(loads []Load) []Move {
 	usable := slices.DeleteFunc(slices.Clone(loads), func(l Load) bool { return !l.Accepting })
 	if len(usable) < 2 {
@@ -71,16 +75,33 @@
 	slices.SortFunc(usable, func(a, b Load) int { return cmp.Compare(b.ratio(), a.ratio()) })
 	mean := meanRatio(usable)
 	var moves []Move
-	for i, j := 0, len(usable)-1; i < j; i, j = i+1, j-1 {
-		from, to := usable[i], usable[j]
+	end := len(usable) // those from there on receive already
+	for i := 0; i < end; i++ {
+		passed := passOn(usable[i], usable[i+1:end], mean)
+		if len(passed) == 0 {
+			break
+		}
+		moves = append(moves, passed...)
+		end -= len(passed)
+	}
+	return moves
+}
+
+// passOn returns the moves from one owner to receivers, which are ordered by load
+// with the least loaded last.
+func passOn(from Load, receivers []Load, mean float64) []Move {
+	var moves []Move
+	for i := len(receivers) - 1; i >= 0 && len(moves) < MostMoves; i-- {
+		to := receivers[i]
 		if from.ratio() < startRatio*mean || from.ratio() < leastLoad || to.ratio() > mean {
 			break
 		}
-		demand := between(from, to)
+		demand := min(between(from, to), from.Demand-mean*from.Room())
 		if demand < leastMove*float64(from.Slots) {
 			break
 		}
 		moves = append(moves, Move{From: from.Member, To: to.Member, Demand: demand})
+		from.Demand -= demand
 	}
 	return moves
 }
--- a/io/mesh/gate.go
+++ b/io/mesh/gate.go
@@ -86,7 +86,10 @@
 		}
 	}
 	m.mu.Lock()
-	m.demand.arrived(now, head.Class)
+	asks := m.demand.Arrived(now, head.Class)
+	if divided {
+		m.heat.Add(now, key, asks)
+	}
 	m.mu.Unlock()
 	permit, refusal := m.scheduler.Acquire(ctx, boottime.Now(), scheduling.Request{
 		Route:     head.Route,
@@ -105,10 +108,7 @@
 	permit.Done(ended, use)
 	if use == scheduling.Served {
 		m.mu.Lock()
-		m.demand.served(head.Class, ended.Sub(started))
-		if divided {
-			m.heat.Add(ended, key, ended.Sub(started))
-		}
+		m.demand.Served(head.Class, ended.Sub(started))
 		m.mu.Unlock()
 	}
 	return res
--- a/io/mesh/heartbeat.go
+++ b/io/mesh/heartbeat.go
@@ -144,8 +144,8 @@
 		Accepting: m.target.accepting() && !m.leaving,
 		Cold:      now.Before(m.target.coldUntil),
 		Slots:     uint32(max(m.target.Slots, 0)),
-		Demand:    m.demand.asked.PerSecond(now),
-		ServiceUs: uint64(m.demand.meanService().Microseconds()),
+		Demand:    m.demand.PerSecond(now),
+		ServiceUs: uint64(m.demand.MeanService().Microseconds()),
 		InFlight:  uint32(load.Running),
 		Queued:    uint32(load.Queued),
 	}
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -178,16 +178,16 @@
 	target    target
 	holdings  []*holding
 	heat      *placement.Heat
-	demand    demand
+	demand    placement.Demand
 	loads     map[netip.AddrPort]report
 	// contacts are the daemons that have called: one of them may reach the store
 	// when this one does not.
 	contacts map[netip.AddrPort]contact
 	choosers balance.Choosers
 	storeOK  bool
-	// moving is set while keys are passed on, and draining while no grant may
-	// be renewed because all of them are to be.
-	moving   bool
+	// moves counts the moves of keys to others that are under way, and draining
+	// is set while no grant may be renewed because all keys are to be passed on.
+	moves    int
 	draining bool
 	// fetching is set while what others know is taken from one of them.
 	fetching bool
@@ -211,7 +211,7 @@
 		changed:   make(chan struct{}),
 		wake:      make(chan struct{}, 1),
 		heat:      placement.NewHeat(now),
-		demand:    newDemand(),
+		demand:    placement.NewDemand(),
 		loads:     map[netip.AddrPort]report{},
 		contacts:  map[netip.AddrPort]contact{},
 		storeOK:   true,
--- a/io/mesh/move.go
+++ b/io/mesh/move.go
@@ -17,13 +17,6 @@
 const (
 	// releaseTimeout is how long a release may wait for the work on its keys.
 	releaseTimeout = 1500 * time.Millisecond
-	// mostHoldings is how many ranges a member may have before only whole ones
-	// are moved: each is a grant to renew.
-	mostHoldings = 24
-	// restTime is how long keys stay after a move before they may move again: a
-	// stretch that is busy enough to overload its next owner would go from one to
-	// the other, and its callers wait each time.
-	restTime = 2 * time.Second
 )
 
 // answerYield passes some of this member's work on to another.
@@ -34,19 +27,19 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.moving || m.leaving || !m.storeOK || yield.Service != m.cfg.Service || !m.book.Holds(boottime.Now(), m.dir) {
+	if m.moves >= placement.MostMoves || m.leaving || m.draining || !m.storeOK || yield.Service != m.cfg.Service || !m.book.Holds(boottime.Now(), m.dir) {
 		return &peerpb.Reply{}
 	}
 	h, ok := m.pickPart(yield.Demand)
 	if !ok {
 		return &peerpb.Reply{}
 	}
-	m.moving = true
+	m.moves++
 	m.log.Info("passing keys on", "first", h.First, "last", h.Last, "to", to, "demand", yield.Demand)
 	go func() {
 		m.pass([]*holding{h}, func(int) netip.AddrPort { return to })
 		m.mu.Lock()
-		m.moving = false
+		m.moves--
 		m.mu.Unlock()
 	}()
 	return &peerpb.Reply{Granted: true}
@@ -56,24 +49,19 @@
 // holds the mutex.
 func (m *Mesh) pickPart(demand float64) (*holding, bool) {
 	now := boottime.Now()
-	var best placement.Stretch
-	var from *holding
+	var movable []*holding
+	var ranges []placement.Stretch
 	for _, h := range m.holdings {
-		if h.closing || h.calling || !h.granted || now.Sub(h.since) < restTime {
-			continue
-		}
-		s, ok := m.heat.Pick(now, h.First, h.Last, demand)
-		if whole := m.heat.Demand(now, h.First, h.Last); !ok && whole > 0.5*demand && whole < 1.25*demand && len(m.holdings) > 1 {
-			s, ok = placement.Stretch{First: h.First, Last: h.Last, Demand: whole}, true
-		}
-		if ok && (from == nil || s.Last-s.First < best.Last-best.First) {
-			best, from = s, h
+		if !h.closing && !h.calling && h.granted && now.Sub(h.since) >= placement.RestTime {
+			movable = append(movable, h)
+			ranges = append(ranges, placement.Stretch{First: h.First, Last: h.Last})
 		}
 	}
-	if from == nil || (len(m.holdings) > mostHoldings && best.Last-best.First != from.Last-from.First) {
+	i, part, ok := m.heat.Choose(now, ranges, len(m.holdings), demand)
+	if !ok {
 		return nil, false
 	}
-	return m.closePart(from, best.First, best.Last), true
+	return m.closePart(movable[i], part.First, part.Last), true
 }
 
 // closePart splits the holding h, of which no grant is under way, so that the
@@ -139,7 +127,7 @@
 		m.mu.Lock()
 		now := boottime.Now()
 		// Their requests will not come here any more.
-		m.demand.asked.Take(now, m.heat.Demand(now, h.First, h.Last))
+		m.demand.Take(now, m.heat.Demand(now, h.First, h.Last))
 		m.mu.Unlock()
 	}
 	m.log.Info("keys passed on", "first", h.First, "last", h.Last, "to", to, "warm", handover != "",
@@ -179,7 +167,7 @@
 // the store is away: keys that were released could go nowhere. The caller holds
 // the mutex.
 func (m *Mesh) evacuate() {
-	if m.moving || !m.divided() || !m.storeOK || slices.ContainsFunc(m.holdings, func(h *holding) bool { return h.calling }) {
+	if m.moves > 0 || !m.divided() || !m.storeOK || slices.ContainsFunc(m.holdings, func(h *holding) bool { return h.calling }) {
 		return
 	}
 	parts, to := m.evacuation()
@@ -188,11 +176,11 @@
 		return
 	}
 	m.log.Info("passing all keys on", "parts", len(parts))
-	m.moving = true
+	m.moves++
 	go func() {
 		m.pass(parts, func(i int) netip.AddrPort { return to[i] })
 		m.mu.Lock()
-		m.moving = false
+		m.moves--
 		m.notify()
 		m.mu.Unlock()
 	}()
@@ -302,5 +290,5 @@
 	}
 	m.draining = m.storeOK
 	m.evacuate()
-	return m.moving || m.draining || !m.storeOK
+	return m.moves > 0 || m.draining || !m.storeOK
 }
