--- a/io/logwriter/logwriter.go
+++ b/io/logwriter/logwriter.go
@@ -1,7 +1,7 @@
 // Package logwriter writes log lines without ever making their author wait.
 //
-// Lines go through a queue of fixed length to a task that writes them. A line
-// that finds the queue full, or comes beyond the number allowed for the second,
+// Lines go through a queue of fixed length to a task that writes them, all that
+// have come within a short time in one piece. A line that finds the queue full, or comes beyond the number allowed for the second,
 // is dropped and counted; the count is written as a line of its own once there
 // is room again.
 //
@@ -25,6 +25,10 @@
 const (
 	// queueLines is the length of the queue: a second's lines and a burst.
 	queueLines = 1024
+	// batchTime is how long a line waits for others. A write costs about as much
+	// as the making of a line, and what a process that is killed loses is no more
+	// than this.
+	batchTime = 20 * time.Millisecond
 	// closeTimeout bounds the writing of what is left at the end.
 	closeTimeout = 200 * time.Millisecond
 )
@@ -54,11 +58,13 @@
 		for {
 			select {
 			case line := <-w.queue:
-				_, _ = w.out.Write(line)
+				w.pause()
+				w.write(line)
 			case now := <-ticker.C:
 				w.report(now)
 			case <-w.tomb.Dying():
-				w.drain()
+				w.write(nil)
+				w.report(time.Now())
 				return nil
 			}
 		}
@@ -111,14 +117,25 @@
 	return w.total + int64(w.dropped)
 }
 
-// drain writes what is queued.
-func (w *Writer) drain() {
+// pause waits for batchTime, or until the end.
+func (w *Writer) pause() {
+	select {
+	case <-time.After(batchTime):
+	case <-w.tomb.Dying():
+	}
+}
+
+// write writes first and what is queued in one piece.
+func (w *Writer) write(first []byte) {
+	batch := first
 	for {
 		select {
 		case line := <-w.queue:
-			_, _ = w.out.Write(line)
+			batch = append(batch, line...)
 		default:
-			w.report(time.Now())
+			if len(batch) > 0 {
+				_, _ = w.out.Write(batch)
+			}
 			return
 		}
 	}
