--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -38,7 +38,8 @@
 		{"to a slow one less", []Load{load(1, 7), slow}, []Move{{server(1), server(2), 2}}},
 		{"not to one that leaves", []Load{load(1, 9), leaving}, nil},
 		{
-			"several receivers", []Load{load(1, 16), load(2, 2), load(3, 1), load(4, 1)},
+			"several receivers",
+			[]Load{load(1, 16), load(2, 2), load(3, 1), load(4, 1)},
 			[]Move{{server(1), server(4), 4}, {server(1), server(3), 4}, {server(1), server(2), 3}},
 		},
 		{"in pairs", []Load{load(1, 9), load(2, 8), load(3, 1), load(4, 0)}, []Move{{server(1), server(4), 4}, {server(2), server(3), 3.5}}},
