Test that servers stop when callers leave, and configuration past a store that turns daemons away

GONE had no test of its own: TestCallersLeave lets callers leave in the middle of lookups, registrations and uploads and gives the servers half a second. The stand-in of a server now reads bodies, since its connection's end shows only after that. TestConfig, whose comment spoke of a store that turns daemons away, now does that, in four rows.

--- a/standin/keyserver/keyserver.go
+++ b/standin/keyserver/keyserver.go
@@ -19,6 +19,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -292,6 +293,8 @@
 	f := s.fault
 	s.mu.Unlock()
 	s.cfg.Record.ran(id, r.Method, s.id)
+	// The end of a connection shows only once the body has been read.
+	_, _ = io.Copy(io.Discard, r.Body)
 	work := time.Duration(rand.ExpFloat64() * float64(s.cfg.Work) * f.Slow)
 	select {
 	case <-time.After(work):
@@ -329,6 +332,13 @@
 	return true
 }
 
+// Busy returns how many requests the server works on.
+func (s *Server) Busy() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.busy
+}
+
 // leave gives a slot back.
 func (s *Server) leave() {
 	s.mu.Lock()
--- a/test/mesh/mesh_test.go
+++ b/test/mesh/mesh_test.go
@@ -401,10 +401,88 @@
 	}
 }
 
-// TestConfig publishes routes while the store turns some daemons away.
+// TestCallersLeave lets callers leave while servers work on their requests, at the
+// server beside their daemon or behind another, and checks that the servers stop.
+func TestCallersLeave(t *testing.T) {
+	const promised = 500 * time.Millisecond
+	for _, row := range []struct {
+		name    string
+		request func(i int) meshfleet.Request
+	}{
+		{"lookups", func(i int) meshfleet.Request { return meshfleet.Lookup(uint16(i * 8192)) }},
+		{"registrations", func(i int) meshfleet.Request { return meshfleet.Register(uint16(i * 8192)) }},
+		{"small uploads", func(int) meshfleet.Request { return meshfleet.Upload(1 << 10) }},
+		{"large uploads", func(int) meshfleet.Request { return meshfleet.Upload(1 << 19) }},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
+			const callers = 8
+			f := start(t, 2, 1)
+			for _, vm := range f.VMs {
+				vm.Server.SetFault(keyserver.Fault{Slow: 10_000})
+			}
+			busy := func() int {
+				n := 0
+				for _, vm := range f.VMs {
+					n += vm.Server.Busy()
+				}
+				return n
+			}
+			ctx, leave := context.WithCancel(f.ctx)
+			defer leave()
+			for i := range callers {
+				r := row.request(i)
+				r.Deadline = patience
+				f.work.Go(func() { f.VMs[0].Send(ctx, r) })
+			}
+			within(t, patience, func() bool { return busy() >= callers/2 })
+			leave()
+			within(t, promised, func() bool { return busy() == 0 })
+		})
+	}
+}
+
+// within waits until is reports true, for at most limit.
+func within(t *testing.T, limit time.Duration, is func() bool) {
+	t.Helper()
+	for began := time.Now(); !is(); time.Sleep(time.Millisecond) {
+		if time.Since(began) > limit {
+			t.Fatalf("it is not so after %v", limit)
+		}
+	}
+}
+
+// TestConfig publishes a route while the store turns some daemons away.
 func TestConfig(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		down metastore.Outage
+		// vms are the daemons that the store turns away.
+		vms []int
+	}{
+		{"calm", metastore.Up, nil},
+		{"busy for one", metastore.Busy, []int{0}},
+		{"silent for all but one", metastore.Silent, []int{0, 1, 2}},
+		{"resets all but one", metastore.Reset, []int{1, 2, 3}},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
+			f := start(t, 3, 1)
+			f.Store.SetFault(metastore.Fault{Down: row.down, For: func(caller netip.Addr) bool {
+				return slices.ContainsFunc(row.vms, func(i int) bool { return f.IP(i) == caller })
+			}})
+			f.Store.Silence() // so that the reads which wait are turned away as well
+			time.Sleep(2 * time.Second)
+			f.checkNewRoute()
+		})
+	}
+}
+
+// checkNewRoute publishes a route and checks that it is in force in time.
+func (f *fleet) checkNewRoute() {
 	const inForce = 2 * time.Second
-	f := start(t, 3, 1)
+	t := f.t
+	t.Helper()
 	f.Publish(map[string]string{"/new/": meshfleet.Archive})
 	published := time.Now()
 	for _, vm := range f.VMs {
