Send heartbeats to others in turn, so that control does not grow with the fleet

Cause: each member sent its heartbeat to all others every 0.6 s.

Change: at most 16 others get a heartbeat in a round, in turn, and the planner in each round; limits of silence of members that are not guarded, and of reports, are longer by the time that a turn takes. A reply to a heartbeat counts as hearing its sender. Up to 17 members nothing else changes. Guardians still get theirs each 0.3 s, changes of the directory still go to all at once.

--- a/io/mesh/entry.go
+++ b/io/mesh/entry.go
@@ -291,10 +291,11 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.noteReport(now, m.cfg.Self, m.ownLoad(now))
+	limit := reportLimit + m.turnTime()
 	var again []netip.AddrPort
 	for _, member := range m.dir.MembersOf(c.head.Service) {
 		r, known := m.loads[member.Address]
-		if (known && (!r.Accepting || now.Sub(r.at) > reportLimit)) || !m.reachable(member, r.at) {
+		if (known && (!r.Accepting || now.Sub(r.at) > limit)) || !m.reachable(member, r.at) {
 			continue
 		}
 		if slices.Contains(c.tried, member.Address) {
--- a/io/mesh/guard.go
+++ b/io/mesh/guard.go
@@ -82,7 +82,7 @@
 	if i := slices.Index(member.Guardians, m.cfg.Self); i >= 0 {
 		return tenure.SilenceLimit + time.Duration(i)*rankDelay
 	}
-	return orphanLimit + time.Duration(m.rank(member.Address))*rankDelay
+	return orphanLimit + m.turnTime() + time.Duration(m.rank(member.Address))*rankDelay
 }
 
 // rank returns the place of this member among all others but addr.
--- a/io/mesh/heartbeat.go
+++ b/io/mesh/heartbeat.go
@@ -14,9 +14,12 @@
 )
 
 const (
-	// othersEvery is how many heartbeats to guardians there are for each to
-	// other members.
+	// othersEvery is how many heartbeats to guardians there are for each round of
+	// them to other members, and mostOthers the most in such a round: the others
+	// get theirs in turn, so that the traffic of a member does not grow with the
+	// fleet.
 	othersEvery = 2
+	mostOthers  = 16
 	// reportLimit is how long a member's report of its load is believed.
 	reportLimit = 2 * time.Second
 )
@@ -31,7 +34,7 @@
 
 // beat is the task that sends heartbeats.
 func (m *Mesh) beat() error {
-	round := 0
+	round, turn := 0, 0
 	return m.every(tenure.RenewEvery, func(now time.Time) {
 		round++
 		m.mu.Lock()
@@ -42,6 +45,7 @@
 			msg.ConfigVersion = m.table.Version
 		}
 		loaded := m.loaded
+		planner := m.firstActive()
 		var guardians, rest []netip.AddrPort
 		for _, member := range m.dir.Members() {
 			switch {
@@ -61,12 +65,49 @@
 		for _, addr := range guardians {
 			go m.sendHeartbeat(addr, renewing)
 		}
-		for _, addr := range rest {
+		for _, addr := range inTurn(rest, &turn) {
 			go m.sendHeartbeat(addr, msg)
 		}
+		// The planner goes by what it hears.
+		if len(rest) > mostOthers && planner != m.cfg.Self {
+			go m.sendHeartbeat(planner, msg)
+		}
 	})
 }
 
+// inTurn returns the next mostOthers of list from place *turn on, which it
+// advances.
+func inTurn(list []netip.AddrPort, turn *int) []netip.AddrPort {
+	if len(list) <= mostOthers {
+		return list
+	}
+	chosen := make([]netip.AddrPort, 0, mostOthers)
+	for i := range mostOthers {
+		chosen = append(chosen, list[(*turn+i)%len(list)])
+	}
+	*turn = (*turn + mostOthers) % len(list)
+	return chosen
+}
+
+// firstActive returns the first active member, which plans unless it is silent.
+// The caller holds the mutex.
+func (m *Mesh) firstActive() netip.AddrPort {
+	for _, member := range m.dir.Members() {
+		if member.State == directory.Active {
+			return member.Address
+		}
+	}
+	return m.cfg.Self
+}
+
+// turnTime returns how much longer than a round it takes in this fleet until each
+// of the others has had a heartbeat: limits of silence are longer by that. The
+// caller holds the mutex.
+func (m *Mesh) turnTime() time.Duration {
+	others := len(m.dir.Members()) - 1
+	return time.Duration(max(0, others-1)/mostOthers) * othersEvery * tenure.RenewEvery
+}
+
 // sendHeartbeat sends a heartbeat to another member.
 func (m *Mesh) sendHeartbeat(addr netip.AddrPort, msg *peerpb.Heartbeat) {
 	ctx, cancel := m.timeout(peerTimeout)
@@ -78,6 +119,7 @@
 	}
 	now := boottime.Now()
 	m.mu.Lock()
+	m.book.Heard(now, addr)
 	m.book.Confirmed(now, addr, reply.NextOffset)
 	if msg.Renew && reply.Granted {
 		m.book.Granted(now, sentAt, addr)
@@ -158,7 +200,7 @@
 	var list []placement.Load
 	for _, member := range m.dir.MembersOf(service) {
 		r, ok := m.loads[member.Address]
-		if !ok || now.Sub(r.at) > reportLimit || member.State != directory.Active {
+		if !ok || now.Sub(r.at) > reportLimit+m.turnTime() || member.State != directory.Active {
 			continue
 		}
 		list = append(list, r.Load)
--- a/io/mesh/plan.go
+++ b/io/mesh/plan.go
@@ -64,7 +64,7 @@
 		if member.Address == m.cfg.Self {
 			return member.State == directory.Active
 		}
-		if member.State == directory.Active && now.Sub(m.book.HeardAt(member.Address)) < guardianLimit {
+		if member.State == directory.Active && now.Sub(m.book.HeardAt(member.Address)) < guardianLimit+m.turnTime() {
 			return false
 		}
 	}
--- a/io/mesh/tend.go
+++ b/io/mesh/tend.go
@@ -198,7 +198,7 @@
 // usable reports whether g may become or stay a guardian. A member that has
 // never been heard is given the time to call.
 func (m *Mesh) usable(now time.Time, g *directory.Member) bool {
-	return now.Sub(m.book.HeardAt(g.Address)) < guardianLimit
+	return now.Sub(m.book.HeardAt(g.Address)) < guardianLimit+m.turnTime()
 }
 
 // guardianEntries returns the entry that names this member's guardians anew.
--- a/standin/measure/control.go
+++ b/standin/measure/control.go
@@ -73,9 +73,9 @@
 func sums(servers []*processes.Server) (map[string]float64, error) {
 	total := map[string]float64{}
 	for _, s := range servers {
-		total["cpu"] += cpu(s.Daemon).Seconds()
-		total["resident"] += resident(s.Daemon)
-		total["most"] = max(total["most"], resident(s.Daemon))
+		total["cpu"] += cpu(s.Daemon.Pid()).Seconds()
+		total["resident"] += resident(s.Daemon.Pid())
+		total["most"] = max(total["most"], resident(s.Daemon.Pid()))
 		values, err := metrics(s)
 		if err != nil {
 			return nil, err
--- a/standin/measure/fleet.go
+++ b/standin/measure/fleet.go
@@ -63,9 +63,9 @@
 // clockTick is the unit of processor time in /proc, in a second.
 const clockTick = 100
 
-// cpu returns the processor time that a process has used.
-func cpu(p *processes.Process) time.Duration {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.Pid()))
+// cpu returns the processor time that the process pid has used.
+func cpu(pid int) time.Duration {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
 	if err != nil {
 		return 0
 	}
@@ -76,9 +76,9 @@
 	return time.Duration(user+system) * time.Second / clockTick
 }
 
-// resident returns the resident memory of a process, in MiB.
-func resident(p *processes.Process) float64 {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.Pid()))
+// resident returns the resident memory of the process pid, in MiB.
+func resident(pid int) float64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
 	if err != nil {
 		return 0
 	}
--- a/standin/measure/report.go
+++ b/standin/measure/report.go
@@ -63,6 +63,7 @@
 	{"latency", addedLatency},
 	{"cost", requestCost},
 	{"control", control},
+	{"mesh-control", meshControl},
 	{"recovery", recovery},
 	{"zone", zoneLoss},
 	{"scenarios", scenarios},
--- a/standin/measure/speed.go
+++ b/standin/measure/speed.go
@@ -163,12 +163,12 @@
 			keys = append(keys, key)
 		}
 	}
-	c := costs{idle: resident(entry.Daemon)}
+	c := costs{idle: resident(entry.Daemon.Pid())}
 	before, err := mallocs(entry, owner)
 	if err != nil {
 		return c, err
 	}
-	cpuBefore := [2]time.Duration{cpu(entry.Daemon), cpu(owner.Daemon)}
+	cpuBefore := [2]time.Duration{cpu(entry.Daemon.Pid()), cpu(owner.Daemon.Pid())}
 	tally := load.NewTally()
 	start := time.Now()
 	var wg sync.WaitGroup
@@ -190,8 +190,8 @@
 		return c, err
 	}
 	c.rate = n / elapsed.Seconds()
-	c.entryUs = float64((cpu(entry.Daemon) - cpuBefore[0]).Microseconds()) / n
-	c.ownerUs = float64((cpu(owner.Daemon) - cpuBefore[1]).Microseconds()) / n
+	c.entryUs = float64((cpu(entry.Daemon.Pid()) - cpuBefore[0]).Microseconds()) / n
+	c.ownerUs = float64((cpu(owner.Daemon.Pid()) - cpuBefore[1]).Microseconds()) / n
 	c.entryAllocs = (after[0] - before[0]) / n
 	c.ownerAllocs = (after[1] - before[1]) / n
 	return c, nil
--- a/standin/meshfleet/meshfleet.go
+++ b/standin/meshfleet/meshfleet.go
@@ -257,6 +257,9 @@
 	return nil
 }
 
+// Pid returns the process id of the VM's daemon, which has been started.
+func (vm *VM) Pid() int { return vm.daemon.Process.Pid }
+
 // Signal sends a signal to the VM's daemon.
 func (vm *VM) Signal(sig syscall.Signal) {
 	if vm.daemon != nil {
