--- a/test/mesh/mesh_test.go
+++ b/test/mesh/mesh_test.go
@@ -315,6 +315,38 @@
 	f.allKeysServed(f.VMs[1])
 }
 
+// TestStopsWhole stops a daemon of each service under load, while servers take a
+// fifth of a second for a request, and checks that each request which has run got
+// its server's answer, unless the time of its route was over.
+func TestStopsWhole(t *testing.T) {
+	const routeTimeout = 2 * time.Second
+	f := start(t, 2, 2)
+	for _, vm := range f.VMs {
+		vm.Server.SetFault(keyserver.Fault{Slow: 20})
+	}
+	f.load(f.VMs[1], f.VMs[1], f.VMs[3], f.VMs[3])
+	for _, i := range []int{0, 2} {
+		f.VMs[i].Signal(syscall.SIGTERM)
+		f.VMs[i].Wait()
+	}
+	time.Sleep(routeTimeout) // for the answers of the last requests
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ran := 0
+	for _, a := range f.answers {
+		if f.Record.Runs(a.ID) == 0 || a.took >= routeTimeout {
+			continue
+		}
+		ran++
+		if !a.Whole() {
+			t.Errorf("request %s has run, and its caller got status %d after %v", a.ID, a.Status, a.took)
+		}
+	}
+	if ran == 0 {
+		t.Error("no request has run")
+	}
+}
+
 // TestSharedRestart stops the only daemon of the shared service and starts it
 // again while the store is slow or away, and checks how soon it serves: it needs
 // nothing that other daemons cannot tell it.
