List a finding of TestFaults/log_slow, and name the runs that a stale token concerns

The record said which key, not which runs: whether a second server was concerned could not be told. It now names servers, requests, tokens and the time between them.

--- a/standin/targetserver/record.go
+++ b/standin/targetserver/record.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -234,24 +235,39 @@
 	}
 	for key, list := range byKey {
 		owners, stale := owners(list)
-		if owners > 1 || stale > 0 {
+		if owners > 1 {
 			audit.Faulty = append(audit.Faulty, "owners of "+key)
 		}
+		for _, s := range stale {
+			audit.Faulty = append(audit.Faulty, s.describe(key))
+		}
 		audit.MostOwners = max(audit.MostOwners, owners)
-		audit.Stale += stale
+		audit.Stale += len(stale)
 	}
 	return audit
 }
 
-// owners returns the most servers that ran requests of one key at a time, and
-// the number of runs under an older token than an earlier run.
-func owners(runs []Run) (most, stale int) {
-	newest := uint64(0)
+// staleRun is a run under an older token than one of the same key that had begun
+// before it.
+type staleRun struct{ run, newer Run }
+
+// describe says which runs they are: whether one server ran both, and how close.
+func (s staleRun) describe(key string) string {
+	return fmt.Sprintf("owners of %s: %s ran %s under token %d of %s %v after %s began %s under token %d of %s",
+		key, s.run.Server, s.run.ID, s.run.Token, s.run.Holder, s.run.Begin.Sub(s.newer.Begin),
+		s.newer.Server, s.newer.ID, s.newer.Token, s.newer.Holder)
+}
+
+// owners returns the most servers that ran requests of one key at a time, and the
+// runs under an older token than an earlier run.
+func owners(runs []Run) (most int, stale []staleRun) {
+	var newest Run
 	for i, run := range runs {
-		if run.Token < newest {
-			stale++
+		if run.Token < newest.Token {
+			stale = append(stale, staleRun{run, newest})
+		} else {
+			newest = run
 		}
-		newest = max(newest, run.Token)
 		servers := map[string]bool{run.Server: true}
 		for _, earlier := range runs[:i] {
 			if earlier.End.After(run.Begin) {
