--- a/io/logwriter/logwriter.go
+++ b/io/logwriter/logwriter.go
@@ -1,9 +1,9 @@
 // Package logwriter writes log lines without ever making their author wait.
 //
 // Lines go through a queue of fixed length to a task that writes them, all that
-// have come within a short time in one piece. A line that finds the queue full, or comes beyond the number allowed for the second,
-// is dropped and counted; the count is written as a line of its own once there
-// is room again.
+// have come within a short time in one piece. A line that finds the queue full, or
+// comes beyond the number allowed for the second, is dropped and counted; the count
+// is written as a line of its own once there is room again.
 //
 // # Usage
 //
@@ -25,9 +25,8 @@
 const (
 	// queueLines is the length of the queue: a second's lines and a burst.
 	queueLines = 1024
-	// batchTime is how long a line waits for others. A write costs about as much
-	// as the making of a line, and what a process that is killed loses is no more
-	// than this.
+	// batchTime is how long a line waits for others, to save system calls. A
+	// process that is killed loses no more than the lines of this time.
 	batchTime = 20 * time.Millisecond
 	// closeTimeout bounds the writing of what is left at the end.
 	closeTimeout = 200 * time.Millisecond
--- a/test/mesh/mesh_test.go
+++ b/test/mesh/mesh_test.go
@@ -20,6 +20,7 @@
 	"siskinknot/standin/keyserver"
 	"siskinknot/standin/meshfleet"
 	"siskinknot/standin/metastore"
+	"siskinknot/standin/processes"
 )
 
 // patience bounds every wait; it says nothing about how long things should take.
@@ -477,10 +478,16 @@
 // within waits until is reports true, for at most limit.
 func within(t *testing.T, limit time.Duration, is func() bool) {
 	t.Helper()
-	for began := time.Now(); !is(); time.Sleep(time.Millisecond) {
-		if time.Since(began) > limit {
-			t.Fatalf("it is not so after %v", limit)
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	err := processes.Until(ctx, func() string {
+		if is() {
+			return ""
 		}
+		return "it is not so"
+	})
+	if err != nil {
+		t.Fatalf("after %v: %v", limit, err)
 	}
 }
 
