Log and count what a mesh daemon uses, and for what

Callers on grown fleets saw service sink, and neither logs nor metrics told whether daemons were short of processor time, and what for. A line each 5 s, and the same as metrics: processor time, how late timers run, changes of the directory with the time to apply them, gaps and fetches, messages to other members, calls to the store.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -250,6 +250,15 @@
 // change them.
 func (d *Directory) Assignments(service string) []*Assignment { return d.ranges[service] }
 
+// Ranges returns the number of assignments of all services.
+func (d *Directory) Ranges() int {
+	n := 0
+	for _, list := range d.ranges {
+		n += len(list)
+	}
+	return n
+}
+
 // AssignmentOf returns the assignment that key belongs to, or nil.
 func (d *Directory) AssignmentOf(service string, key uint16) *Assignment {
 	list := d.ranges[service]
--- a/io/mesh/entry.go
+++ b/io/mesh/entry.go
@@ -348,6 +348,7 @@
 	if answered && !now.After(c.head.Objective) {
 		return
 	}
+	m.metrics.failed.Inc(1)
 	message := "request not answered"
 	if answered {
 		message = "request answered late"
--- a/io/mesh/heartbeat.go
+++ b/io/mesh/heartbeat.go
@@ -113,6 +113,7 @@
 	ctx, cancel := m.timeout(peerTimeout)
 	defer cancel()
 	sentAt := boottime.Now()
+	m.metrics.heartbeats.Inc(1)
 	reply, err := m.pool.Ask(ctx, addr, &peerpb.Call{Kind: &peerpb.Call_Heartbeat{Heartbeat: msg}})
 	if err != nil {
 		return
--- a/io/mesh/hold_test.go
+++ b/io/mesh/hold_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
 
 	"siskinknot/core/directory"
 	"siskinknot/core/retry"
@@ -25,6 +26,7 @@
 		budget:  retry.NewBudget(0),
 		changed: make(chan struct{}),
 		wake:    make(chan struct{}, 1),
+		metrics: newMetrics(tally.NoopScope),
 	}
 	entries := []directory.Entry{directory.Member{Address: self, Service: "s", State: directory.Active}.Put()}
 	for _, a := range assignments {
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -15,6 +15,7 @@
 //	guard      fences silent members and passes on their keys (guard.go)
 //	hold       keeps the target's grants and moves keys (hold.go, move.go)
 //	plan       evens out the load, while this member is planner (plan.go)
+//	usage      logs what the process uses, and for what (usage.go)
 //
 // Requests enter through Serve (entry.go), which finds the owner's daemon, and
 // are run there by the gate (gate.go).
@@ -224,6 +225,7 @@
 	m.tomb.Go(m.guard)
 	m.tomb.Go(m.hold)
 	m.tomb.Go(m.plan)
+	m.tomb.Go(m.usage)
 	return m
 }
 
@@ -353,7 +355,8 @@
 		select {
 		case <-m.tomb.Dying():
 			return nil
-		case <-ticker.C:
+		case due := <-ticker.C:
+			m.metrics.timerLag.note(due, time.Now())
 			task(boottime.Now())
 		}
 	}
--- a/io/mesh/sync.go
+++ b/io/mesh/sync.go
@@ -147,6 +147,9 @@
 	var conflict *Conflict
 	if err == nil || errors.As(err, &conflict) {
 		m.noteStore(nil)
+		if err != nil {
+			m.metrics.conflicts.Inc(1)
+		}
 		return end, err
 	}
 	m.noteStore(err)
@@ -228,9 +231,17 @@
 // apply brings the directory up to date, follows what changed, and reports whether
 // anything did. The caller holds the mutex.
 func (m *Mesh) apply(now time.Time, u directory.Update) bool {
+	if u.Base > m.dir.End() {
+		m.metrics.gaps.Inc(1)
+	}
+	began := time.Now()
 	if !m.dir.Apply(u) {
 		return false
 	}
+	defer func() {
+		m.metrics.applied.Inc(1)
+		m.metrics.applyTime.Inc(time.Since(began).Microseconds())
+	}()
 	m.book.Observe(now, m.dir)
 	m.noteJoins(now)
 	m.syncHoldings(now)
@@ -365,6 +376,7 @@
 func (m *Mesh) tell(addr netip.AddrPort, u directory.Update) {
 	ctx, cancel := m.timeout(peerTimeout)
 	defer cancel()
+	m.metrics.told.Inc(1)
 	reply, err := m.pool.Ask(ctx, addr, &peerpb.Call{Kind: &peerpb.Call_Update{Update: toUpdate(u)}})
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -408,6 +420,7 @@
 	}()
 	if needDir {
 		ctx, cancel := m.timeout(fetchTimeout)
+		m.metrics.fetched.Inc(1)
 		reply, err := m.pool.Ask(ctx, addr, &peerpb.Call{Kind: &peerpb.Call_Snapshot{Snapshot: &peerpb.Snapshot{}}})
 		cancel()
 		if err == nil && reply.Update != nil {
