Apply a change of the directory at a cost that follows the change

Cause: removing or replacing an entry formatted the key of every range of its service to find the one, so that a change cost time in proportion to the number of ranges, and reading the whole directory in proportion to its square, with the daemon's lock held.

Change: ranges are found by binary search under their key, kept by owner as well, and an entry that has not changed is not decoded again. Members are listed by service once for a change.

--- a/core/directory/cost_test.go
+++ b/core/directory/cost_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 )
 
 // grown returns a directory in which each of members owns ranges ranges.
@@ -59,3 +60,53 @@
 		})
 	}
 }
+
+// TestIndexesDivergeFromEntries applies random changes, and checks that members and
+// ranges are those of a directory that reads the same entries at once.
+func TestIndexesDivergeFromEntries(t *testing.T) {
+	owner := rapid.Custom(func(t *rapid.T) netip.AddrPort {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(rapid.IntRange(0, 3).Draw(t, "owner"))}), 7400)
+	})
+	entry := rapid.Custom(func(t *rapid.T) Entry {
+		service := rapid.SampledFrom([]string{"s", "t"}).Draw(t, "service")
+		m := Member{Address: owner.Draw(t, "member"), Service: service, State: Active}
+		first := rapid.Uint16Range(0, 9).Draw(t, "first")
+		a := Assignment{Service: service, First: first, Last: first + 1, Owner: m.Address, Fence: rapid.Uint64Range(1, 3).Draw(t, "fence")}
+		return rapid.SampledFrom([]Entry{
+			m.Put(), m.Drop(), a.Put(), a.Drop(),
+			{Key: m.Put().Key, Value: []byte("{")},
+			{Key: a.Put().Key, Value: []byte("{")},
+			{Key: "other", Value: []byte("1")},
+		}).Draw(t, "entry")
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		d := New()
+		for _, change := range rapid.SliceOfN(rapid.SliceOfN(entry, 1, 4), 1, 20).Draw(t, "changes") {
+			u := Update{Base: d.End(), End: d.End() + 1, Entries: change}
+			if rapid.Bool().Draw(t, "whole") {
+				u.Base = 0
+			}
+			require.True(t, d.Apply(u))
+			fresh := New()
+			require.True(t, fresh.Apply(d.Snapshot()))
+			require.Equal(t, fresh.Members(), d.Members())
+			for _, service := range []string{"s", "t"} {
+				require.Equal(t, fresh.MembersOf(service), d.MembersOf(service))
+				require.ElementsMatch(t, fresh.Assignments(service), d.Assignments(service))
+				require.IsNonDecreasing(t, firsts(d.Assignments(service)))
+			}
+			for _, m := range fresh.Members() {
+				require.ElementsMatch(t, fresh.OwnedBy(m.Address), d.OwnedBy(m.Address))
+			}
+		}
+	})
+}
+
+// firsts returns the first key of each assignment, after a 0.
+func firsts(list []*Assignment) []int {
+	keys := []int{0}
+	for _, a := range list {
+		keys = append(keys, int(a.First))
+	}
+	return keys
+}
--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -25,12 +25,14 @@
 package directory
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/json"
 	"fmt"
 	"maps"
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 )
 
@@ -138,23 +140,32 @@
 }
 
 // Directory is the table at one version. It is not safe for concurrent use.
+//
+// Applying an update costs time in proportion to the update, not to the directory:
+// every member applies every change, and the number of ranges grows with the fleet.
 type Directory struct {
 	end     uint64
 	entries map[string][]byte
 	members map[netip.AddrPort]*Member
-	// order holds the members by address. It is replaced with each update, so that
-	// a list that was handed out stays as it is.
-	order []*Member
-	// ranges holds the assignments of each service, ordered by First.
+	// order holds the members by address, and byService those of each service.
+	// They are replaced when a member changes, so that a list that was handed out
+	// stays as it is.
+	order     []*Member
+	byService map[string][]*Member
+	// ranges holds the assignments of each service, ordered by First, and owned
+	// those of each owner, ordered by service and First.
 	ranges map[string][]*Assignment
+	owned  map[netip.AddrPort][]*Assignment
 }
 
 // New returns the empty directory at version 0.
 func New() *Directory {
 	return &Directory{
-		entries: map[string][]byte{},
-		members: map[netip.AddrPort]*Member{},
-		ranges:  map[string][]*Assignment{},
+		entries:   map[string][]byte{},
+		members:   map[netip.AddrPort]*Member{},
+		byService: map[string][]*Member{},
+		ranges:    map[string][]*Assignment{},
+		owned:     map[netip.AddrPort][]*Assignment{},
 	}
 }
 
@@ -167,26 +178,50 @@
 	if u.End <= d.end || (u.Base != 0 && u.Base != d.end) {
 		return false
 	}
-	if u.Base == 0 {
-		*d = *New()
-	}
+	membersChanged := u.Base == 0 && d.removeOthers(u.Entries)
 	for _, e := range u.Entries {
-		d.set(e)
+		membersChanged = d.set(e) || membersChanged
 	}
 	d.end = u.End
-	d.order = slices.SortedFunc(maps.Values(d.members), func(a, b *Member) int { return a.Address.Compare(b.Address) })
-	for _, list := range d.ranges {
-		slices.SortFunc(list, func(a, b *Assignment) int { return cmp.Compare(a.First, b.First) })
+	if membersChanged {
+		d.listMembers()
 	}
 	return true
 }
 
-// set changes one entry. An entry that does not decode is kept, so that it is
-// passed on as it is, but names nothing.
-func (d *Directory) set(e Entry) {
-	d.unset(e.Key)
+// removeOthers removes the entries whose keys are not among those of entries, and
+// reports whether one of them was a member.
+func (d *Directory) removeOthers(entries []Entry) (membersChanged bool) {
+	kept := make(map[string]struct{}, len(entries))
+	for _, e := range entries {
+		kept[e.Key] = struct{}{}
+	}
+	for key := range d.entries {
+		if _, ok := kept[key]; !ok {
+			membersChanged = d.unset(key) || membersChanged
+		}
+	}
+	return membersChanged
+}
+
+// listMembers makes the lists of members anew.
+func (d *Directory) listMembers() {
+	d.order = slices.SortedFunc(maps.Values(d.members), func(a, b *Member) int { return a.Address.Compare(b.Address) })
+	d.byService = map[string][]*Member{}
+	for _, m := range d.order {
+		d.byService[m.Service] = append(d.byService[m.Service], m)
+	}
+}
+
+// set changes one entry, and reports whether that changed a member. An entry that
+// does not decode is kept, so that it is passed on as it is, but names nothing.
+func (d *Directory) set(e Entry) (membersChanged bool) {
+	if present, ok := d.entries[e.Key]; ok && len(e.Value) > 0 && bytes.Equal(present, e.Value) {
+		return false
+	}
+	membersChanged = d.unset(e.Key)
 	if len(e.Value) == 0 {
-		return
+		return membersChanged
 	}
 	d.entries[e.Key] = e.Value
 	switch {
@@ -194,30 +229,85 @@
 		m := &Member{}
 		if json.Unmarshal(e.Value, m) == nil && memberKey(m.Address) == e.Key {
 			d.members[m.Address] = m
+			return true
 		}
 	case strings.HasPrefix(e.Key, rangePrefix):
 		a := &Assignment{}
 		if json.Unmarshal(e.Value, a) == nil && rangeKey(a.Service, a.First) == e.Key && a.First <= a.Last {
-			d.ranges[a.Service] = append(d.ranges[a.Service], a)
+			d.ranges[a.Service] = insert(d.ranges[a.Service], a)
+			d.owned[a.Owner] = insert(d.owned[a.Owner], a)
 		}
 	}
+	return membersChanged
 }
 
-// unset removes an entry.
-func (d *Directory) unset(key string) {
+// unset removes an entry, and reports whether it was a member.
+func (d *Directory) unset(key string) bool {
+	if _, ok := d.entries[key]; !ok {
+		return false
+	}
 	delete(d.entries, key)
 	if addr, ok := strings.CutPrefix(key, memberPrefix); ok {
-		if parsed, err := netip.ParseAddrPort(addr); err == nil {
-			delete(d.members, parsed)
+		parsed, err := netip.ParseAddrPort(addr)
+		if err != nil || d.members[parsed] == nil {
+			return false
 		}
-		return
+		delete(d.members, parsed)
+		return true
+	}
+	a := d.assignmentAt(key)
+	if a == nil {
+		return false
+	}
+	d.ranges[a.Service] = remove(d.ranges[a.Service], a)
+	if d.owned[a.Owner] = remove(d.owned[a.Owner], a); len(d.owned[a.Owner]) == 0 {
+		delete(d.owned, a.Owner)
+	}
+	return false
+}
+
+// assignmentAt returns the assignment that is stored under key, or nil.
+func (d *Directory) assignmentAt(key string) *Assignment {
+	name, ok := strings.CutPrefix(key, rangePrefix)
+	slash := strings.LastIndexByte(name, '/')
+	if !ok || slash < 0 {
+		return nil
 	}
-	service, _, _ := strings.Cut(strings.TrimPrefix(key, rangePrefix), "/")
-	d.ranges[service] = slices.DeleteFunc(d.ranges[service], func(a *Assignment) bool {
-		return rangeKey(a.Service, a.First) == key
+	first, err := strconv.ParseUint(name[slash+1:], 10, 16)
+	if err != nil {
+		return nil
+	}
+	list := d.ranges[name[:slash]]
+	i, found := search(list, name[:slash], uint16(first))
+	if !found {
+		return nil
+	}
+	return list[i]
+}
+
+// search returns the place of the assignment of service that begins with first in
+// a list ordered by service and First.
+func search(list []*Assignment, service string, first uint16) (int, bool) {
+	return slices.BinarySearchFunc(list, first, func(a *Assignment, first uint16) int {
+		return cmp.Or(strings.Compare(a.Service, service), cmp.Compare(a.First, first))
 	})
 }
 
+// insert adds a to a list ordered by service and First.
+func insert(list []*Assignment, a *Assignment) []*Assignment {
+	i, _ := search(list, a.Service, a.First)
+	return slices.Insert(list, i, a)
+}
+
+// remove takes a out of a list ordered by service and First.
+func remove(list []*Assignment, a *Assignment) []*Assignment {
+	i, found := search(list, a.Service, a.First)
+	if !found {
+		return list
+	}
+	return slices.Delete(list, i, i+1)
+}
+
 // Snapshot returns the whole directory as an update.
 func (d *Directory) Snapshot() Update {
 	u := Update{End: d.end, Entries: make([]Entry, 0, len(d.entries))}
@@ -235,16 +325,9 @@
 // list.
 func (d *Directory) Members() []*Member { return d.order }
 
-// MembersOf returns the members of a service, ordered by address.
-func (d *Directory) MembersOf(service string) []*Member {
-	var list []*Member
-	for _, m := range d.order {
-		if m.Service == service {
-			list = append(list, m)
-		}
-	}
-	return list
-}
+// MembersOf returns the members of a service, ordered by address. Callers must not
+// change the list.
+func (d *Directory) MembersOf(service string) []*Member { return d.byService[service] }
 
 // Assignments returns the assignments of a service in order. Callers must not
 // change them.
@@ -274,23 +357,9 @@
 	return list[i]
 }
 
-// OwnedBy returns the assignments of owner, in order.
-func (d *Directory) OwnedBy(owner netip.AddrPort) []*Assignment {
-	var list []*Assignment
-	for _, name := range d.services() {
-		for _, a := range d.ranges[name] {
-			if a.Owner == owner {
-				list = append(list, a)
-			}
-		}
-	}
-	return list
-}
-
-// services returns the names of the services with assignments, in order.
-func (d *Directory) services() []string {
-	return slices.Sorted(maps.Keys(d.ranges))
-}
+// OwnedBy returns the assignments of owner, ordered by service and First. Callers
+// must not change them.
+func (d *Directory) OwnedBy(owner netip.AddrPort) []*Assignment { return d.owned[owner] }
 
 // Free returns the ranges of a service that have no assignment, as assignments
 // without an owner.
