Keep changes of the directory that come early, and fetch only those that are missing

Cause: members send their changes to all others at the same time, so that they arrive in any order. One that did not continue the directory was dropped, and the next heartbeat made the member fetch the whole directory, which it then read anew. The more changes, the more were dropped. A guardian that had yet to confirm a fence was sent the whole directory each 0.1 s; a read of the store that a change overtook was made again.

Whether a member's entry has changed is seen without encoding it.

--- /dev/null
+++ b/core/directory/changes_test.go
@@ -0,0 +1,82 @@
+package directory
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// chain returns the updates of n transactions of one to three entries each, after
+// version 1.
+func chain(t *rapid.T, n int) []Update {
+	list, end := make([]Update, 0, n), uint64(1)
+	for i := range n {
+		u := Update{Base: end, End: end}
+		for j := range rapid.IntRange(1, 3).Draw(t, "entries") {
+			u.End++
+			u.Entries = append(u.Entries, Entry{Key: fmt.Sprintf("other/%d", (i+j)%4), Value: fmt.Append(nil, u.End)})
+		}
+		list, end = append(list, u), u.End
+	}
+	return list
+}
+
+// TestChangesOutOfOrderAreLost applies the changes of a chain in any order, and
+// checks that the directory is that of the whole chain, and that each member which
+// has missed the end of it gets the same by what Since returns.
+func TestChangesOutOfOrderAreLost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		start := Update{End: 1, Entries: []Entry{{Key: "other/0", Value: []byte("1")}}}
+		all := chain(t, rapid.IntRange(1, mostEarly).Draw(t, "changes"))
+		d, changes := New(), NewChanges()
+		d.Apply(start)
+		for _, u := range rapid.Permutation(all).Draw(t, "order") {
+			if u.Base > d.End() {
+				changes.Early(u)
+				continue
+			}
+			for ok := true; ok; u, ok = changes.Next(d.End()) {
+				require.True(t, d.Apply(u))
+				changes.Applied(u)
+			}
+		}
+		behind := New()
+		behind.Apply(start)
+		for _, u := range all[:rapid.IntRange(0, len(all)-1).Draw(t, "known")] {
+			require.True(t, behind.Apply(u))
+		}
+		rest, ok := changes.Since(behind.End())
+		require.True(t, ok)
+		require.True(t, behind.Apply(rest))
+		require.Equal(t, all[len(all)-1].End, d.End())
+		require.Equal(t, d.Snapshot(), behind.Snapshot())
+	})
+}
+
+// TestOvertakenReadIsLost checks that a read of the store is applied although a
+// part of it came from another member meanwhile.
+func TestOvertakenReadIsLost(t *testing.T) {
+	entry := func(value string) Entry { return Entry{Key: "other/" + value, Value: []byte(value)} }
+	for _, row := range []struct {
+		name    string
+		read    Update
+		applies bool
+	}{
+		{"the rest continues", Update{Base: 1, End: 4, Entries: []Entry{entry("a"), entry("b"), entry("c")}}, true},
+		{"all of it is known", Update{Base: 1, End: 2, Entries: []Entry{entry("a")}}, false},
+		{"versions without an entry", Update{Base: 1, End: 4, Entries: []Entry{entry("a"), entry("c")}}, false},
+		{"it begins later", Update{Base: 3, End: 4, Entries: []Entry{entry("c")}}, false},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			d := New()
+			d.Apply(Update{End: 1, Entries: []Entry{entry("z")}})
+			require.True(t, d.Apply(Update{Base: 1, End: 2, Entries: []Entry{entry("a")}}))
+			require.Equal(t, row.applies, d.Apply(row.read))
+			if row.applies {
+				require.Equal(t, row.read.End, d.End())
+			}
+		})
+	}
+}
--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -103,6 +103,15 @@
 	Entries []Entry
 }
 
+// after returns the part of u that follows version. It can be told if each version
+// between Base and End is that of one entry.
+func (u Update) after(version uint64) (Update, bool) {
+	if u.Base == 0 || version < u.Base || version >= u.End || uint64(len(u.Entries)) != u.End-u.Base {
+		return Update{}, false
+	}
+	return Update{Base: version, End: u.End, Entries: u.Entries[version-u.Base:]}, true
+}
+
 const (
 	memberPrefix = "member/"
 	rangePrefix  = "range/"
@@ -173,11 +182,20 @@
 func (d *Directory) End() uint64 { return d.end }
 
 // Apply brings the directory to u.End and reports whether it changed. An update
-// that is not newer, or that does not continue the directory, changes nothing.
+// that is not newer, or that does not continue the directory, changes nothing. Of
+// one that begins earlier the rest is applied: it was asked for before another one
+// came.
 func (d *Directory) Apply(u Update) bool {
-	if u.End <= d.end || (u.Base != 0 && u.Base != d.end) {
+	if u.End <= d.end {
 		return false
 	}
+	if u.Base != 0 && u.Base != d.end {
+		rest, ok := u.after(d.end)
+		if !ok {
+			return false
+		}
+		u = rest
+	}
 	membersChanged := u.Base == 0 && d.removeOthers(u.Entries)
 	for _, e := range u.Entries {
 		membersChanged = d.set(e) || membersChanged
--- a/io/mesh/guard.go
+++ b/io/mesh/guard.go
@@ -191,10 +191,10 @@
 	}
 	g.askedAt[addr] = now
 	m.mu.Lock()
-	ask, snapshot := m.book.Unconfirmed(m.dir, addr), m.dir.Snapshot()
+	ask := m.book.Unconfirmed(m.dir, addr)
 	m.mu.Unlock()
 	for _, guardian := range ask {
-		go m.tell(guardian, snapshot)
+		go m.bring(guardian, member.FencedAt)
 	}
 }
 
--- a/io/mesh/heartbeat.go
+++ b/io/mesh/heartbeat.go
@@ -125,10 +125,9 @@
 	if msg.Renew && reply.Granted {
 		m.book.Granted(now, sentAt, addr)
 	}
-	behind := reply.NextOffset > m.dir.End() || (m.table == nil && reply.SettingsVersion > 0) ||
-		(m.table != nil && reply.SettingsVersion > m.table.Version)
+	behindDir, behindConfig := m.behind(reply.NextOffset, reply.SettingsVersion)
 	m.mu.Unlock()
-	if behind {
+	if behindDir || behindConfig {
 		m.fetch(addr, reply.NextOffset, reply.SettingsVersion)
 	}
 }
@@ -153,7 +152,7 @@
 	if hb.Renew {
 		reply.Granted = m.book.Renew(now, m.dir, from)
 	}
-	if hb.DirectoryEnd > m.dir.End() || hb.ConfigVersion > reply.SettingsVersion {
+	if behindDir, behindConfig := m.behind(hb.DirectoryEnd, hb.ConfigVersion); behindDir || behindConfig {
 		go m.fetch(from, hb.DirectoryEnd, hb.ConfigVersion)
 	}
 	return reply
--- a/io/mesh/hold_test.go
+++ b/io/mesh/hold_test.go
@@ -21,7 +21,8 @@
 	m := &Mesh{
 		cfg:     Config{Self: self, Service: "s", MaxHold: 10 * time.Second},
 		dir:     directory.New(),
-		entries: map[netip.AddrPort]string{},
+		changes: directory.NewChanges(),
+		entries: map[netip.AddrPort]*directory.Member{},
 		book:    tenure.New(self),
 		budget:  retry.NewBudget(0),
 		changed: make(chan struct{}),
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -162,8 +162,10 @@
 	mu   sync.Mutex
 	dir  *directory.Directory
 	book *tenure.Book
+	// changes are the recent changes of dir, and those that came too early.
+	changes *directory.Changes
 	// entries are the members' entries as they were last seen.
-	entries map[netip.AddrPort]string
+	entries map[netip.AddrPort]*directory.Member
 	// changed is closed and replaced when what requests wait for may have
 	// changed: the directory, or a grant.
 	changed chan struct{}
@@ -208,7 +210,8 @@
 		budget:    retry.NewBudget(0),
 		dir:       directory.New(),
 		book:      tenure.New(cfg.Self),
-		entries:   map[netip.AddrPort]string{},
+		changes:   directory.NewChanges(),
+		entries:   map[netip.AddrPort]*directory.Member{},
 		changed:   make(chan struct{}),
 		wake:      make(chan struct{}, 1),
 		heat:      placement.NewHeat(now),
--- a/io/mesh/peers.go
+++ b/io/mesh/peers.go
@@ -20,9 +20,7 @@
 	case *peerpb.Call_Update:
 		return m.answerUpdate(kind.Update)
 	case *peerpb.Call_Snapshot:
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		return &peerpb.Reply{NextOffset: m.dir.End(), Update: toUpdate(m.dir.Snapshot())}
+		return m.answerSnapshot(kind.Snapshot)
 	case *peerpb.Call_Yield:
 		return m.answerYield(kind.Yield)
 	case *peerpb.Call_Relay:
--- a/io/mesh/sync.go
+++ b/io/mesh/sync.go
@@ -60,6 +60,9 @@
 	// fetchTimeout bounds a call for the directory or the configuration, which are
 	// larger than other answers. A daemon that is that slow still gets them.
 	fetchTimeout = time.Second
+	// fetchDelay is how long a change may take from the daemon that made it: a
+	// few times the round trip within a region.
+	fetchDelay = 60 * time.Millisecond
 	// relayTimeout bounds a call to the store through another daemon.
 	relayTimeout = storeTimeout + peerTimeout
 	// relayPeers is how many daemons are asked, one after the other, and
@@ -228,20 +231,30 @@
 	}
 }
 
-// apply brings the directory up to date, follows what changed, and reports whether
-// anything did. The caller holds the mutex.
+// apply brings the directory up to date with u and with the changes that waited
+// for it, follows what changed, and reports whether anything did. A change that
+// comes too early waits. The caller holds the mutex.
 func (m *Mesh) apply(now time.Time, u directory.Update) bool {
 	if u.Base > m.dir.End() {
 		m.metrics.gaps.Inc(1)
+		m.changes.Early(u)
+		return false
 	}
 	began := time.Now()
 	if !m.dir.Apply(u) {
 		return false
 	}
-	defer func() {
+	m.changes.Applied(u)
+	m.metrics.applied.Inc(1)
+	for {
+		next, ok := m.changes.Next(m.dir.End())
+		if !ok || !m.dir.Apply(next) {
+			break
+		}
+		m.changes.Applied(next)
 		m.metrics.applied.Inc(1)
-		m.metrics.applyTime.Inc(time.Since(began).Microseconds())
-	}()
+	}
+	defer func() { m.metrics.applyTime.Inc(time.Since(began).Microseconds()) }()
 	m.book.Observe(now, m.dir)
 	m.noteJoins(now)
 	m.syncHoldings(now)
@@ -255,9 +268,8 @@
 // holds the mutex.
 func (m *Mesh) noteJoins(now time.Time) {
 	for _, member := range m.dir.Members() {
-		entry := string(member.Put().Value)
-		if m.entries[member.Address] != entry {
-			m.entries[member.Address] = entry
+		if m.entries[member.Address] != member {
+			m.entries[member.Address] = member
 			m.book.Heard(now, member.Address)
 		}
 	}
@@ -372,8 +384,9 @@
 	return list
 }
 
-// tell passes a change on to another daemon.
-func (m *Mesh) tell(addr netip.AddrPort, u directory.Update) {
+// tell passes a change on to another daemon, and returns the version that it has
+// then; 0 if it does not answer.
+func (m *Mesh) tell(addr netip.AddrPort, u directory.Update) uint64 {
 	ctx, cancel := m.timeout(peerTimeout)
 	defer cancel()
 	m.metrics.told.Inc(1)
@@ -385,13 +398,45 @@
 		m.book.Ended(boottime.Now(), addr)
 	}
 	if err != nil {
-		return // the heartbeats bring it there
+		return 0 // the heartbeats bring it there
 	}
 	m.book.Confirmed(boottime.Now(), addr, reply.NextOffset)
+	return reply.NextOffset
+}
+
+// bring makes sure that the daemon at addr has a version after the given one, by
+// what it misses of the changes.
+func (m *Mesh) bring(addr netip.AddrPort, version uint64) {
+	if has := m.tell(addr, m.changesSince(version)); has > 0 && has <= version {
+		m.tell(addr, m.changesSince(has))
+	}
 }
 
-// answerUpdate applies a change that another daemon made. One that does not
-// continue this directory is asked for as a whole when heartbeats show it.
+// changesSince returns the changes of the directory since version, or the whole
+// directory if they are not kept.
+func (m *Mesh) changesSince(version uint64) directory.Update {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if u, ok := m.changes.Since(version); ok {
+		return u
+	}
+	return m.dir.Snapshot()
+}
+
+// answerSnapshot returns the changes of the directory since a version.
+func (m *Mesh) answerSnapshot(question *peerpb.Snapshot) *peerpb.Reply {
+	m.mu.Lock()
+	end := m.dir.End()
+	m.mu.Unlock()
+	if since := question.GetSince(); since > 0 && since >= end {
+		return &peerpb.Reply{NextOffset: end}
+	}
+	u := m.changesSince(question.GetSince())
+	return &peerpb.Reply{NextOffset: u.End, Update: toUpdate(u)}
+}
+
+// answerUpdate applies a change that another daemon made. What is missing before it
+// is asked for when heartbeats show that it does not come.
 func (m *Mesh) answerUpdate(update *peerpb.Update) *peerpb.Reply {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -399,29 +444,50 @@
 	return &peerpb.Reply{Granted: true, NextOffset: m.dir.End()}
 }
 
-// fetch takes the directory and the configuration from a daemon that has later
-// ones, unless they are being taken from another: each heartbeat shows anew that
-// this daemon is behind, and one that hardly gets to run would spend all its time
-// on the same answers.
+// behind reports whether a daemon that has the directory up to end, and a version
+// of the configuration, has a later one of either than this one. The caller holds
+// the mutex.
+func (m *Mesh) behind(end, version uint64) (directory, config bool) {
+	if m.table == nil {
+		return end > m.dir.End(), version > 0
+	}
+	return end > m.dir.End(), version > m.table.Version
+}
+
+// fetch takes the changes of the directory and the configuration from a daemon that
+// has later ones, unless they are being taken from another. A daemon that is up to
+// date otherwise waits for a moment first: what one member hears of, the others are
+// about to hear of as well.
 func (m *Mesh) fetch(addr netip.AddrPort, end, version uint64) {
 	m.mu.Lock()
-	needDir := end > m.dir.End()
-	needConfig := m.table == nil || version > m.table.Version
+	needDir, needConfig := m.behind(end, version)
 	if m.fetching || (!needDir && !needConfig) {
 		m.mu.Unlock()
 		return
 	}
 	m.fetching = true
+	started := m.loaded && m.table != nil
 	m.mu.Unlock()
 	defer func() {
 		m.mu.Lock()
 		m.fetching = false
 		m.mu.Unlock()
 	}()
+	if started {
+		select {
+		case <-m.tomb.Dying():
+			return
+		case <-time.After(fetchDelay):
+		}
+	}
+	m.mu.Lock()
+	needDir, needConfig = m.behind(end, version)
+	since := m.dir.End()
+	m.mu.Unlock()
 	if needDir {
 		ctx, cancel := m.timeout(fetchTimeout)
 		m.metrics.fetched.Inc(1)
-		reply, err := m.pool.Ask(ctx, addr, &peerpb.Call{Kind: &peerpb.Call_Snapshot{Snapshot: &peerpb.Snapshot{}}})
+		reply, err := m.pool.Ask(ctx, addr, &peerpb.Call{Kind: &peerpb.Call_Snapshot{Snapshot: &peerpb.Snapshot{Since: since}}})
 		cancel()
 		if err == nil && reply.Update != nil {
 			m.mu.Lock()
@@ -431,7 +497,7 @@
 			m.mu.Unlock()
 		}
 	}
-	if needConfig && version > 0 {
+	if needConfig {
 		m.fetchConfig(addr)
 	}
 }
