Let keys that are released together share a change of the directory

Cause: each range that passes on is a change of its own, conditional on the version, so that every change is in the way of all others: a member made 24 appends in 5 s of which 23 met another change, each followed by a read. A member with 21 ranges needs 21.

Change: keys that are released while a change is under way share the next one. The pause after a conflict grows with the tries, and the store is not read if others have told of their changes meanwhile.

TestEvacuationAppendsOncePerRange: 16 appends for 16 ranges before, at most 4 allowed and kept now.

--- a/io/mesh/hold_test.go
+++ b/io/mesh/hold_test.go
@@ -9,6 +9,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"siskinknot/core/directory"
+	"siskinknot/core/placement"
 	"siskinknot/core/retry"
 	"siskinknot/core/tenure"
 )
@@ -28,6 +29,8 @@
 		changed: make(chan struct{}),
 		wake:    make(chan struct{}, 1),
 		metrics: newMetrics(tally.NoopScope),
+		heat:    placement.NewHeat(time.Unix(1000, 0)),
+		demand:  placement.NewDemand(),
 	}
 	entries := []directory.Entry{directory.Member{Address: self, Service: "s", State: directory.Active}.Put()}
 	for _, a := range assignments {
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -192,6 +192,10 @@
 	// is set while no grant may be renewed because all keys are to be passed on.
 	moves    int
 	draining bool
+	// released are the keys that wait for a change of the directory to name their
+	// new owners, and reassigning is set while one is under way.
+	released    []*passing
+	reassigning bool
 	// fetching is set while what others know is taken from one of them.
 	fetching bool
 }
--- a/io/mesh/move.go
+++ b/io/mesh/move.go
@@ -115,14 +115,7 @@
 		return
 	}
 	released := boottime.Now()
-	err := m.commit("move", func(dir *directory.Directory) []directory.Entry {
-		a := dir.AssignmentOf(h.Service, h.First)
-		if a == nil || a.Owner != m.cfg.Self || a.Fence != h.Fence || a.Last < h.Last {
-			return nil
-		}
-		return dir.Move(a, []directory.Part{{First: h.First, Last: h.Last, To: to, Handover: handover}})
-	})
-	m.logIf("move", err)
+	err := m.reassign(&passing{holding: h, to: to, handover: handover})
 	if err == nil {
 		m.mu.Lock()
 		now := boottime.Now()
@@ -141,6 +134,90 @@
 	}
 }
 
+// passing is a closed holding whose keys the target has released.
+type passing struct {
+	holding  *holding
+	to       netip.AddrPort
+	handover string
+	// moved receives nil once the directory names the new owner, or why it does
+	// not. It is made by reassign.
+	moved chan error
+}
+
+// reassign gives released keys to their new owner. Keys that are released while a
+// change is under way share the next one: each change of the directory is in the way
+// of all others.
+func (m *Mesh) reassign(p *passing) error {
+	p.moved = make(chan error, 1)
+	m.mu.Lock()
+	m.released = append(m.released, p)
+	first := !m.reassigning
+	m.reassigning = true
+	m.mu.Unlock()
+	for first {
+		m.reassignReleased()
+		m.mu.Lock()
+		first = len(m.released) > 0
+		m.reassigning = first
+		m.mu.Unlock()
+	}
+	return <-p.moved
+}
+
+// reassignReleased gives all released keys to their new owners.
+func (m *Mesh) reassignReleased() {
+	var batch []*passing
+	err := m.commit("move", func(dir *directory.Directory) []directory.Entry {
+		batch = append(batch, m.released...)
+		m.released = nil
+		return m.moveEntries(dir, batch)
+	})
+	m.logIf("move", err)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if batch == nil { // the change was not even tried
+		batch, m.released = m.released, nil
+	}
+	for _, p := range batch {
+		if err != nil && m.stillOwns(m.dir, p.holding) != nil {
+			p.moved <- err
+			continue
+		}
+		p.moved <- nil
+	}
+}
+
+// moveEntries returns the entries that give the keys of batch to their new owners.
+func (m *Mesh) moveEntries(dir *directory.Directory, batch []*passing) []directory.Entry {
+	slices.SortFunc(batch, func(a, b *passing) int { return cmp.Compare(a.holding.First, b.holding.First) })
+	parts := map[*directory.Assignment][]directory.Part{}
+	var order []*directory.Assignment
+	for _, p := range batch {
+		a := m.stillOwns(dir, p.holding)
+		if a == nil {
+			continue
+		}
+		if len(parts[a]) == 0 {
+			order = append(order, a)
+		}
+		parts[a] = append(parts[a], directory.Part{First: p.holding.First, Last: p.holding.Last, To: p.to, Handover: p.handover})
+	}
+	var entries []directory.Entry
+	for _, a := range order {
+		entries = append(entries, dir.Move(a, parts[a])...)
+	}
+	return entries
+}
+
+// stillOwns returns the assignment by which this member owns the keys of h, or nil.
+func (m *Mesh) stillOwns(dir *directory.Directory, h *holding) *directory.Assignment {
+	a := dir.AssignmentOf(h.Service, h.First)
+	if a == nil || a.Owner != m.cfg.Self || a.Fence != h.Fence || a.Last < h.Last {
+		return nil
+	}
+	return a
+}
+
 // reopen lets this member serve the keys of h again, if they are still its own.
 func (m *Mesh) reopen(h *holding) {
 	m.mu.Lock()
--- a/io/mesh/sync.go
+++ b/io/mesh/sync.go
@@ -71,6 +71,10 @@
 	contactLimit = 1500 * time.Millisecond
 	// commitTries bounds the tries of a change that meets other changes.
 	commitTries = 12
+	// firstCommitPause and lastCommitPause bound the pause between two of them:
+	// about the time of an append, and a few dozen of them.
+	firstCommitPause = 8 * time.Millisecond
+	lastCommitPause  = 160 * time.Millisecond
 )
 
 // refresh brings the directory up to date from the store, or through a daemon
@@ -331,7 +335,13 @@
 		default:
 			*open = undecided{base: u.Base, cause: err}
 		}
-		time.Sleep(rand.N(time.Duration(1+try) * 4 * time.Millisecond))
+		m.pauseCommit(try)
+		m.mu.Lock()
+		known := conflict != nil && m.dir.End() >= conflict.End
+		m.mu.Unlock()
+		if known {
+			continue // the others have told of their changes
+		}
 		if !m.refresh() && conflict == nil {
 			return failed(err)
 		}
@@ -339,6 +349,17 @@
 	return failed(errContended)
 }
 
+// pauseCommit waits before a change is tried again. The pauses grow with the tries:
+// the more members change the directory at a time, the fewer may try at once for
+// one of them to succeed.
+func (m *Mesh) pauseCommit(try int) {
+	limit := min(firstCommitPause<<min(try, 16), lastCommitPause)
+	select {
+	case <-m.tomb.Dying():
+	case <-time.After(rand.N(limit)):
+	}
+}
+
 // settle makes sure that a change conditional on version base can no longer be
 // made, by making another if need be.
 func (m *Mesh) settle(base uint64) {
--- a/io/mesh/sync_test.go
+++ b/io/mesh/sync_test.go
@@ -1,9 +1,13 @@
 package mesh
 
 import (
+	"context"
 	"fmt"
+	"sync"
 	"testing"
+	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/stretchr/testify/require"
 
 	"siskinknot/core/directory"
@@ -33,3 +37,54 @@
 	}
 	require.Zero(t, m.answerSnapshot(&peerpb.Snapshot{}).Update.Base, "a member that knows nothing gets all")
 }
+
+// countingStore is a store of one directory that counts its calls.
+type countingStore struct {
+	mu      sync.Mutex
+	end     uint64
+	appends int
+}
+
+// Read implements Store.
+func (s *countingStore) Read(_ context.Context, since uint64) (directory.Update, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return directory.Update{Base: since, End: s.end}, nil
+}
+
+// Append implements Store.
+func (s *countingStore) Append(_ context.Context, u directory.Update) (uint64, error) {
+	const appendTime = 20 * time.Millisecond
+	time.Sleep(appendTime)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.appends++
+	if u.Base != s.end {
+		return 0, &Conflict{End: s.end}
+	}
+	s.end += uint64(len(u.Entries))
+	return s.end, nil
+}
+
+// TestEvacuationAppendsOncePerRange passes all keys of a member on, and checks that
+// ranges which are released at the same time share a change of the directory.
+func TestEvacuationAppendsOncePerRange(t *testing.T) {
+	const ranges, width = 16, 1 << 12
+	var owned []directory.Assignment
+	for i := range ranges {
+		owned = append(owned, directory.Assignment{First: uint16(i * width), Last: uint16((i+1)*width - 1), Fence: 1})
+	}
+	m := holder(owned...)
+	store := &countingStore{end: m.dir.End()}
+	m.store, m.log = store, hclog.NewNullLogger()
+	to := members(3)[2]
+	var passing sync.WaitGroup
+	for _, h := range m.holdings {
+		passing.Go(func() { m.passOne(h, to) })
+	}
+	passing.Wait()
+	require.Empty(t, m.dir.OwnedBy(self))
+	require.Len(t, m.dir.OwnedBy(to), ranges)
+	// What is released during the first change shares the second, and so on.
+	require.LessOrEqual(t, store.appends, ranges/4)
+}
