Send control calls that can wait over the sessions of requests

Cause: a daemon keeps two sessions to each other member, in both directions, of six tasks and 12 to 20 KB each, and pings a session that was quiet for half a second before each call. In a fleet of 64 nearly each session is quiet between two calls, so that a heartbeat is two round trips, and the wait for the ping polls each half millisecond. The tasks' stacks are scanned by each garbage collection.

Change: heartbeats in turn, changes, plans and fetches share the sessions of requests; renewals and what a fence needs keep their own. A control call does not wait for a ping first: it is repeated anyway, and finds out itself. A ping is waited for, not polled. A session reserves room for 128 streams that are not accepted yet instead of 1,024, and the server side needs one task less for it.

TestControlCallsOpenSecondSession is new.

--- a/io/mesh/heartbeat.go
+++ b/io/mesh/heartbeat.go
@@ -10,6 +10,7 @@
 	"siskinknot/core/placement"
 	"siskinknot/core/tenure"
 	"siskinknot/io/boottime"
+	"siskinknot/io/peer"
 	"siskinknot/io/peer/peerpb"
 )
 
@@ -114,7 +115,11 @@
 	defer cancel()
 	sentAt := boottime.Now()
 	m.metrics.heartbeats.Inc(1)
-	reply, err := m.pool.Ask(ctx, addr, &peerpb.Call{Kind: &peerpb.Call_Heartbeat{Heartbeat: msg}})
+	purpose := peer.Requests
+	if msg.Renew {
+		purpose = peer.Control
+	}
+	reply, err := m.pool.AskOver(ctx, addr, purpose, &peerpb.Call{Kind: &peerpb.Call_Heartbeat{Heartbeat: msg}})
 	if err != nil {
 		return
 	}
--- a/io/mesh/plan.go
+++ b/io/mesh/plan.go
@@ -9,6 +9,7 @@
 	"siskinknot/core/placement"
 	"siskinknot/core/routing"
 	"siskinknot/io/boottime"
+	"siskinknot/io/peer"
 	"siskinknot/io/peer/peerpb"
 )
 
@@ -127,6 +128,6 @@
 	}
 	ctx, cancel := m.timeout(peerTimeout)
 	defer cancel()
-	reply, err := m.pool.Ask(ctx, move.From, &peerpb.Call{Kind: &peerpb.Call_Yield{Yield: yield}})
+	reply, err := m.pool.AskOver(ctx, move.From, peer.Requests, &peerpb.Call{Kind: &peerpb.Call_Yield{Yield: yield}})
 	m.log.Debug("move planned", "from", move.From, "to", move.To, "demand", move.Demand, "granted", reply.GetGranted(), "error", err)
 }
--- a/io/mesh/sync.go
+++ b/io/mesh/sync.go
@@ -11,6 +11,7 @@
 
 	"siskinknot/core/directory"
 	"siskinknot/io/boottime"
+	"siskinknot/io/peer"
 	"siskinknot/io/peer/peerpb"
 )
 
@@ -388,7 +389,7 @@
 	m.mu.Unlock()
 	m.log.Info("directory changed", "what", what, "base", u.Base, "version", u.End, "entries", len(u.Entries))
 	for _, addr := range m.others() {
-		go m.tell(addr, u)
+		go m.tell(addr, peer.Requests, u)
 	}
 }
 
@@ -405,13 +406,13 @@
 	return list
 }
 
-// tell passes a change on to another daemon, and returns the version that it has
-// then; 0 if it does not answer.
-func (m *Mesh) tell(addr netip.AddrPort, u directory.Update) uint64 {
+// tell passes a change on to another daemon over a session for purpose, and returns
+// the version that it has then; 0 if it does not answer.
+func (m *Mesh) tell(addr netip.AddrPort, purpose peer.Purpose, u directory.Update) uint64 {
 	ctx, cancel := m.timeout(peerTimeout)
 	defer cancel()
 	m.metrics.told.Inc(1)
-	reply, err := m.pool.Ask(ctx, addr, &peerpb.Call{Kind: &peerpb.Call_Update{Update: toUpdate(u)}})
+	reply, err := m.pool.AskOver(ctx, addr, purpose, &peerpb.Call{Kind: &peerpb.Call_Update{Update: toUpdate(u)}})
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if errors.Is(err, syscall.ECONNREFUSED) {
@@ -428,8 +429,8 @@
 // bring makes sure that the daemon at addr has a version after the given one, by
 // what it misses of the changes.
 func (m *Mesh) bring(addr netip.AddrPort, version uint64) {
-	if has := m.tell(addr, m.changesSince(version)); has > 0 && has <= version {
-		m.tell(addr, m.changesSince(has))
+	if has := m.tell(addr, peer.Control, m.changesSince(version)); has > 0 && has <= version {
+		m.tell(addr, peer.Control, m.changesSince(has))
 	}
 }
 
@@ -508,7 +509,7 @@
 	if needDir {
 		ctx, cancel := m.timeout(fetchTimeout)
 		m.metrics.fetched.Inc(1)
-		reply, err := m.pool.Ask(ctx, addr, &peerpb.Call{Kind: &peerpb.Call_Snapshot{Snapshot: &peerpb.Snapshot{Since: since}}})
+		reply, err := m.pool.AskOver(ctx, addr, peer.Requests, &peerpb.Call{Kind: &peerpb.Call_Snapshot{Snapshot: &peerpb.Snapshot{Since: since}}})
 		cancel()
 		if err == nil && reply.Update != nil {
 			m.mu.Lock()
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -9,7 +9,9 @@
 // by its length as a varint.
 //
 // Sessions are opened on demand, one for each peer and Purpose, so that bulk
-// data cannot delay other requests, nor requests the renewals of leases. A
+// data cannot delay other requests, nor requests the renewals of leases. Control
+// calls that can wait go over the sessions of requests, since a session has a price
+// also when it is idle: tasks, buffers, and stacks that are scanned. A
 // session without streams is closed after a while. A session that has streams
 // but receives nothing is pinged; if no answer comes it is closed, which ends
 // its streams, and the next call opens a new one.
@@ -81,6 +83,9 @@
 	handshakeTimeout = time.Second
 	// pingTimeout bounds a ping and a blocked write.
 	pingTimeout = 600 * time.Millisecond
+	// acceptBacklog is how many streams may be opened and not yet taken by the other
+	// side; a session reserves room for them.
+	acceptBacklog = 128
 	// maxIdleStreams is the most streams of a session that are kept, and
 	// streamIdleLimit for how long: each costs two tasks and buffers on the
 	// other side, and opening one costs no round trip.
@@ -102,7 +107,7 @@
 	cfg.StreamOpenTimeout = 0
 	cfg.StreamCloseTimeout = 30 * time.Second
 	cfg.MaxStreamWindowSize = 256 << 10
-	cfg.AcceptBacklog = 1024
+	cfg.AcceptBacklog = acceptBacklog
 	cfg.LogOutput = io.Discard
 	return cfg
 }
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -46,6 +46,22 @@
 	return pool, addr
 }
 
+// TestControlCallsOpenSecondSession checks that control calls which can wait and
+// forwarded requests share a session, and that those of leases do not.
+func TestControlCallsOpenSecondSession(t *testing.T) {
+	pool, addr := pair(t)
+	call := &peerpb.Call{Kind: &peerpb.Call_Move{Move: &peerpb.Move{Term: 1}}}
+	stream, err := pool.Open(context.Background(), addr, Requests)
+	require.NoError(t, err)
+	stream.Done()
+	_, err = pool.AskOver(context.Background(), addr, Requests, call)
+	require.NoError(t, err)
+	require.Equal(t, 1, pool.Sessions())
+	_, err = pool.Ask(context.Background(), addr, call)
+	require.NoError(t, err)
+	require.Equal(t, 2, pool.Sessions())
+}
+
 func TestCallsShareASession(t *testing.T) {
 	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
 	t.Run("calls", func(t *testing.T) {
--- a/io/peer/pool.go
+++ b/io/peer/pool.go
@@ -145,6 +145,11 @@
 // into it may or may not be run. A new session takes its place at once: if only
 // the connection is dead, the new one works.
 func (p *Pool) Open(ctx context.Context, addr netip.AddrPort, purpose Purpose) (*Stream, error) {
+	return p.open(ctx, addr, purpose, (*watch).answers)
+}
+
+// open starts a call on a session that usable admits.
+func (p *Pool) open(ctx context.Context, addr netip.AddrPort, purpose Purpose, usable func(*watch, context.Context) bool) (*Stream, error) {
 	const attempts = 2 // the first may meet a session that has just closed
 	var err error
 	for range attempts {
@@ -153,7 +158,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if !s.watch.answers(ctx) {
+		if !usable(s.watch, ctx) {
 			err = errSilent
 			p.forget(sessionKey{addr, purpose}, s)
 			continue
@@ -171,7 +176,14 @@
 
 // Ask makes a control call and returns its reply.
 func (p *Pool) Ask(ctx context.Context, addr netip.AddrPort, call *peerpb.Call) (*peerpb.Reply, error) {
-	stream, err := p.Open(ctx, addr, Control)
+	return p.AskOver(ctx, addr, Control, call)
+}
+
+// AskOver makes a control call over a session of the given purpose, and returns its
+// reply. The call may be made again, so that a session which has been quiet is not
+// pinged before it is used: the call itself finds out.
+func (p *Pool) AskOver(ctx context.Context, addr netip.AddrPort, purpose Purpose, call *peerpb.Call) (*peerpb.Reply, error) {
+	stream, err := p.open(ctx, addr, purpose, (*watch).notSilent)
 	if err != nil {
 		return nil, err
 	}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"sync"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/hashicorp/yamux"
@@ -31,13 +32,18 @@
 	log      hclog.Logger
 	traffic  [purposes]meter.Traffic
 	tomb     tomb.Tomb
+
+	mu sync.Mutex
+	// open are the sessions to close at the end; nil once they have been.
+	open map[*yamux.Session]struct{}
 }
 
 // NewServer serves handler on listener until Close.
 func NewServer(listener net.Listener, server string, handler Handler, log hclog.Logger) *Server {
-	s := &Server{listener: listener, server: server, handler: handler, log: log}
+	s := &Server{listener: listener, server: server, handler: handler, log: log, open: map[*yamux.Session]struct{}{}}
 	s.tomb.Go(func() error {
 		<-s.tomb.Dying()
+		s.closeAll()
 		return s.listener.Close()
 	})
 	s.tomb.Go(func() error {
@@ -64,6 +70,36 @@
 // Traffic returns the byte counts of the sessions for purpose.
 func (s *Server) Traffic(purpose Purpose) *meter.Traffic { return &s.traffic[purpose] }
 
+// keep notes an open session, and reports false if the server ends.
+func (s *Server) keep(mux *yamux.Session) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.open == nil {
+		return false
+	}
+	s.open[mux] = struct{}{}
+	return true
+}
+
+// forget closes a session.
+func (s *Server) forget(mux *yamux.Session) {
+	_ = mux.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, mux)
+}
+
+// closeAll closes all sessions.
+func (s *Server) closeAll() {
+	s.mu.Lock()
+	open := s.open
+	s.open = nil
+	s.mu.Unlock()
+	for mux := range open {
+		_ = mux.Close()
+	}
+}
+
 // acceptError returns err unless it comes from Close.
 func (s *Server) acceptError(err error) error {
 	if !s.tomb.Alive() {
@@ -86,14 +122,11 @@
 		s.log.Error("session did not start", "from", conn.RemoteAddr(), "error", err)
 		return
 	}
-	s.tomb.Go(func() error {
-		select {
-		case <-s.tomb.Dying():
-		case <-mux.CloseChan():
-		}
+	if !s.keep(mux) {
 		_ = mux.Close()
-		return nil
-	})
+		return
+	}
+	defer s.forget(mux)
 	for {
 		raw, err := mux.AcceptStream()
 		if err != nil {
--- a/io/peer/watch.go
+++ b/io/peer/watch.go
@@ -34,9 +34,15 @@
 	woken chan struct{}
 	// roundTrip is how long the last ping took, in nanoseconds.
 	roundTrip atomic.Int64
-	// pingedAt is when the ping under way was sent, on the clock of package
-	// time in nanoseconds; 0 if there is none.
-	pingedAt atomic.Int64
+	// pinging is the ping under way, or nil.
+	pinging atomic.Pointer[ping]
+}
+
+// ping is a ping under way.
+type ping struct {
+	sentAt time.Time
+	// answered is closed when the answer has come.
+	answered chan struct{}
 }
 
 // newWatch returns the watch of a session whose handshake took roundTrip.
@@ -107,10 +113,11 @@
 }
 
 // ping sends a ping, unless one is under way, and closes the session if no
-// answer comes.
-func (w *watch) ping() {
-	if !w.pingedAt.CompareAndSwap(0, time.Now().UnixNano()) {
-		return
+// answer comes. It returns the ping under way, or nil if its answer has come.
+func (w *watch) ping() *ping {
+	next := &ping{sentAt: time.Now(), answered: make(chan struct{})}
+	if !w.pinging.CompareAndSwap(nil, next) {
+		return w.pinging.Load()
 	}
 	go func() {
 		roundTrip, err := w.mux.Ping()
@@ -119,33 +126,36 @@
 			return
 		}
 		w.roundTrip.Store(int64(roundTrip))
-		w.pingedAt.Store(0)
+		w.pinging.Store(nil)
+		close(next.answered)
 	}()
+	return next
 }
 
-// silent reports whether a ping has been under way for too long.
-func (w *watch) silent() bool {
-	at := w.pingedAt.Load()
-	return at != 0 && time.Since(time.Unix(0, at)) > w.grace()
+// notSilent reports whether no ping has been under way for too long.
+func (w *watch) notSilent(context.Context) bool {
+	p := w.pinging.Load()
+	return p == nil || time.Since(p.sentAt) <= w.grace()
 }
 
 // answers reports whether the peer seems to answer. If nothing has come from it
 // for a while it is pinged first.
 func (w *watch) answers(ctx context.Context) bool {
 	if w.conn.QuietFor() < quietLimit {
-		return !w.silent()
+		return w.notSilent(ctx)
+	}
+	p := w.ping()
+	if p == nil {
+		return true
 	}
-	w.ping()
 	deadline := time.NewTimer(w.grace())
 	defer deadline.Stop()
-	for w.pingedAt.Load() != 0 {
-		select {
-		case <-deadline.C:
-			return false
-		case <-ctx.Done():
-			return false
-		case <-time.After(time.Millisecond / 2):
-		}
+	select {
+	case <-p.answered:
+		return true
+	case <-deadline.C:
+		return false
+	case <-ctx.Done():
+		return false
 	}
-	return true
 }
