Ping sessions between daemons less often

Cause: a session is pinged before a call if it was quiet for 0.5 s, and each 0.1 s while a call is under way. In a large fleet a session carries a call each second or two, of 0.2 to 0.3 s: each request paid one ping before and two while it ran, of four messages each.

Change: 1.5 s, within which a session has a request or a heartbeat, and 0.2 s. A session that goes silent under a call is found 0.1 s later than before, and a request that must not be repeated may be sent into one that went silent up to 1.5 s ago, instead of 0.5.

--- a/io/peer/watch.go
+++ b/io/peer/watch.go
@@ -12,13 +12,16 @@
 
 // Times of the watch over a session.
 const (
-	watchEvery = 100 * time.Millisecond
+	// watchEvery is shorter than most requests: those that end before it cost no
+	// ping.
+	watchEvery = 200 * time.Millisecond
 	// pingGrace is how long a ping may be under way, beside twice its usual
 	// time, before the session counts as silent.
 	pingGrace = 100 * time.Millisecond
 	// quietLimit is how long nothing may have come from the peer before the
-	// next call waits for a ping.
-	quietLimit = 500 * time.Millisecond
+	// next call waits for a ping. In a large fleet a session carries a request or
+	// a heartbeat each second or two.
+	quietLimit = 1500 * time.Millisecond
 	// idleLimit is how long a session without calls is kept.
 	idleLimit = 30 * time.Second
 )
