Wake a waiting request when its own key gets an owner

Cause: a request that waits for its key's next owner was tried again at each change of the directory, of which there are ten a second in a grown fleet; each try goes to another daemon and is refused there.

Change: it waits for a change of its key.

--- a/io/mesh/entry.go
+++ b/io/mesh/entry.go
@@ -195,9 +195,7 @@
 	giveUp := c.req.Received.Add(time.Duration(float64(c.route.LatencyObjective) * waitShare))
 	for {
 		c.tries++
-		m.mu.Lock()
-		changed := m.changed
-		m.mu.Unlock()
+		before := m.ownerOf(c)
 		res := m.once(ctx, c)
 		if c.sink.Started() || c.spent {
 			return res
@@ -213,17 +211,48 @@
 		if !again || ctx.Err() != nil {
 			return m.comeBack(c, res)
 		}
-		m.waitChange(ctx, changed, pause)
+		m.awaitOwner(ctx, c, before, pause)
+	}
+}
+
+// owner is whom the directory names for a key of a divided service; zero if nobody.
+type owner struct {
+	address netip.AddrPort
+	fence   uint64
+}
+
+// ownerOf returns the owner of the key of c.
+func (m *Mesh) ownerOf(c *call) owner {
+	if !c.divided {
+		return owner{}
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if a := m.dir.AssignmentOf(c.head.Service, c.key); a != nil {
+		return owner{a.Owner, a.Fence}
+	}
+	return owner{}
 }
 
-// waitChange pauses before the next try; a change of the directory ends the
-// pause.
-func (m *Mesh) waitChange(ctx context.Context, changed <-chan struct{}, pause time.Duration) {
-	select {
-	case <-changed:
-	case <-time.After(pause):
-	case <-ctx.Done():
+// awaitOwner pauses before the next try; if the key of c gets another owner than
+// before, the pause ends. Other changes of the directory say nothing of the request.
+func (m *Mesh) awaitOwner(ctx context.Context, c *call, before owner, pause time.Duration) {
+	over := time.NewTimer(pause)
+	defer over.Stop()
+	for {
+		m.mu.Lock()
+		changed := m.changed
+		m.mu.Unlock()
+		if m.ownerOf(c) != before {
+			return
+		}
+		select {
+		case <-changed:
+		case <-over.C:
+			return
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
