Name at most six moves in a plan

Cause: a plan of a large service names a move for each pair of owners whose loads differ by a fifth, which by chance is the case for a third of them at any time: 19 moves each half second with 62 members. Each is a change that every member follows, that makes all other changes fail, and that splits a range for good.

TestPlanNamesMoreMovesThanMembersFollow failed with 19 moves.

Change: the moves of the most loaded owners; the others wait for the next plan.

--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"testing"
 	"time"
@@ -125,3 +126,23 @@
 		})
 	}
 }
+
+// TestPlanNamesMoreMovesThanMembersFollow plans for a large service whose loads differ
+// by chance, and checks that few moves are named and that the most loaded go first.
+func TestPlanNamesMoreMovesThanMembersFollow(t *testing.T) {
+	for _, row := range []struct{ members, most int }{{2, 1}, {7, mostPlanned}, {62, mostPlanned}, {3200, mostPlanned}} {
+		rng := rand.New(rand.NewPCG(1, uint64(row.members)))
+		loads := make([]Load, row.members)
+		for i := range loads {
+			loads[i] = Load{
+				Member: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7400), Accepting: true, Slots: 9,
+				Demand: 5 * (1 + 0.3*rng.NormFloat64()), Service: 150 * time.Millisecond,
+			}
+		}
+		loads[row.members/2].Demand = 20
+		moves := Plan(loads)
+		require.NotEmpty(t, moves)
+		require.LessOrEqual(t, len(moves), row.most)
+		require.Equal(t, loads[row.members/2].Member, moves[0].From)
+	}
+}
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -25,6 +25,11 @@
 // MostMoves is how many moves an owner makes at a time.
 const MostMoves = 3
 
+// mostPlanned is how many moves a plan names. Each is a change that every member
+// follows, and that is in the way of all other changes; the loads of many targets
+// differ by chance all the time.
+const mostPlanned = 6
+
 // Load is what a member reports of the target beside it.
 type Load struct {
 	Member    netip.AddrPort
@@ -66,7 +71,8 @@
 // Plan returns the moves that even out the loads of one service's targets. An
 // overloaded owner passes work to up to MostMoves receivers, down to the mean: a
 // hot stretch is more than one of them can take. Each receiver takes part in one
-// move, since what a move did shows only in the next reports.
+// move, since what a move did shows only in the next reports. The most loaded owners
+// go first, and the others wait for the next plan.
 func Plan(loads []Load) []Move {
 	usable := slices.DeleteFunc(slices.Clone(loads), func(l Load) bool { return !l.Accepting })
 	if len(usable) < 2 {
@@ -76,7 +82,7 @@
 	mean := meanRatio(usable)
 	var moves []Move
 	end := len(usable) // those from there on receive already
-	for i := 0; i < end; i++ {
+	for i := 0; i < end && len(moves) < mostPlanned; i++ {
 		passed := passOn(usable[i], usable[i+1:end], mean)
 		if len(passed) == 0 {
 			break
@@ -84,7 +90,7 @@
 		moves = append(moves, passed...)
 		end -= len(passed)
 	}
-	return moves
+	return moves[:min(len(moves), mostPlanned)]
 }
 
 // passOn returns the moves from one owner to receivers, which are ordered by load
