Leave room for one another when many members change the directory at once

Cause: at a start all members join and then name their guardians at the same moments; each append makes those under way fail, which are tried again after 4 to 50 ms.

Change: members name their guardians in turn, 8 ms apart, and the pauses between tries to join are longer than those of changes that callers wait for.

--- a/io/mesh/sync.go
+++ b/io/mesh/sync.go
@@ -72,10 +72,19 @@
 	contactLimit = 1500 * time.Millisecond
 	// commitTries bounds the tries of a change that meets other changes.
 	commitTries = 12
-	// firstCommitPause and lastCommitPause bound the pause between two of them:
-	// about the time of an append, and a few dozen of them.
-	firstCommitPause = 8 * time.Millisecond
-	lastCommitPause  = 160 * time.Millisecond
+	// appendTime is about how long an append takes with its answer.
+	appendTime = 8 * time.Millisecond
+)
+
+// pace bounds the pauses between the tries of a change, which double.
+type pace struct{ first, last time.Duration }
+
+var (
+	// urgent is for changes that callers wait for.
+	urgent = pace{first: appendTime, last: 20 * appendTime}
+	// patient is for those that many members make at the same moment, and that
+	// nobody waits for.
+	patient = pace{first: 5 * appendTime, last: 100 * appendTime}
 )
 
 // refresh brings the directory up to date from the store, or through a daemon
@@ -299,6 +308,11 @@
 // whose fate is not known, so it has to see what it did itself. The error is
 // undecided if the change may be made later.
 func (m *Mesh) commit(what string, build func(*directory.Directory) []directory.Entry) error {
+	return m.commitAt(urgent, what, build)
+}
+
+// commitAt is commit with the given pauses between its tries.
+func (m *Mesh) commitAt(p pace, what string, build func(*directory.Directory) []directory.Entry) error {
 	m.committing.Lock()
 	defer m.committing.Unlock()
 	open := &undecided{}
@@ -336,7 +350,7 @@
 		default:
 			*open = undecided{base: u.Base, cause: err}
 		}
-		m.pauseCommit(try)
+		m.pauseCommit(p, try)
 		m.mu.Lock()
 		known := conflict != nil && m.dir.End() >= conflict.End
 		m.mu.Unlock()
@@ -353,8 +367,8 @@
 // pauseCommit waits before a change is tried again. The pauses grow with the tries:
 // the more members change the directory at a time, the fewer may try at once for
 // one of them to succeed.
-func (m *Mesh) pauseCommit(try int) {
-	limit := min(firstCommitPause<<min(try, 16), lastCommitPause)
+func (m *Mesh) pauseCommit(p pace, try int) {
+	limit := min(p.first<<min(try, 16), p.last)
 	select {
 	case <-m.tomb.Dying():
 	case <-time.After(rand.N(limit)):
--- a/io/mesh/sync_test.go
+++ b/io/mesh/sync_test.go
@@ -40,6 +40,9 @@
 
 // countingStore is a store of one directory that counts its calls.
 type countingStore struct {
+	// taking is how long an append takes.
+	taking time.Duration
+
 	mu      sync.Mutex
 	end     uint64
 	appends int
@@ -54,8 +57,7 @@
 
 // Append implements Store.
 func (s *countingStore) Append(_ context.Context, u directory.Update) (uint64, error) {
-	const appendTime = 20 * time.Millisecond
-	time.Sleep(appendTime)
+	time.Sleep(s.taking)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.appends++
@@ -75,7 +77,7 @@
 		owned = append(owned, directory.Assignment{First: uint16(i * width), Last: uint16((i+1)*width - 1), Fence: 1})
 	}
 	m := holder(owned...)
-	store := &countingStore{end: m.dir.End()}
+	store := &countingStore{end: m.dir.End(), taking: 20 * time.Millisecond}
 	m.store, m.log = store, hclog.NewNullLogger()
 	to := members(3)[2]
 	var passing sync.WaitGroup
@@ -88,3 +90,25 @@
 	// What is released during the first change shares the second, and so on.
 	require.LessOrEqual(t, store.appends, ranges/4)
 }
+
+// TestJoiningMembersExceedStoreRate lets the members of a fleet change the directory at
+// the same moment, and checks that they stay within what a small installation's store
+// takes in a second.
+func TestJoiningMembersExceedStoreRate(t *testing.T) {
+	const fleet, writesPerSecond = 76, 400
+	store := &countingStore{taking: appendTime / 2}
+	var joining sync.WaitGroup
+	for i := range fleet {
+		m := holder()
+		m.store, m.log, m.cfg.Self = store, hclog.NewNullLogger(), members(fleet)[i]
+		m.dir = directory.New()
+		joining.Go(func() {
+			if err := m.commitAt(patient, "join", m.joinEntries); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	joining.Wait()
+	t.Logf("%d appends", store.appends)
+	require.LessOrEqual(t, store.appends, writesPerSecond)
+}
--- a/io/mesh/tend.go
+++ b/io/mesh/tend.go
@@ -27,6 +27,9 @@
 	// settleTime is how long the members must have been the same before
 	// guardians are named.
 	settleTime = 400 * time.Millisecond
+	// lastTurn bounds the time that members leave to one another to name their
+	// guardians: without any, a member reads the store every 0.4 s instead.
+	lastTurn = 2 * time.Second
 	// guardianLimit is the silence after which a guardian is replaced.
 	guardianLimit = 4 * tenure.SilenceLimit
 )
@@ -80,7 +83,7 @@
 	loaded, leaving := m.loaded, m.leaving
 	mayWrite := loaded && !leaving && t.write.due(now)
 	joinDue := mayWrite && m.joinDue(now, t.started)
-	guardiansDue := mayWrite && now.Sub(t.since) > settleTime && m.guardiansDue(now)
+	guardiansDue := mayWrite && now.Sub(t.since) > settleTime+m.turnToWrite() && m.guardiansDue(now)
 	m.mu.Unlock()
 	if joinDue {
 		t.commit(now, "join", m.joinEntries)
@@ -90,9 +93,15 @@
 	}
 }
 
+// turnToWrite returns how long this member leaves the directory to those before it
+// when all members are about to change it. The caller holds the mutex.
+func (m *Mesh) turnToWrite() time.Duration {
+	return min(time.Duration(m.rank(m.cfg.Self))*appendTime, lastTurn)
+}
+
 // commit changes the directory; after a failure there is a pause.
 func (t *tending) commit(now time.Time, what string, build func(*directory.Directory) []directory.Entry) {
-	err := t.mesh.commit(what, build)
+	err := t.mesh.commitAt(patient, what, build)
 	t.mesh.logIf(what, err)
 	if err != nil {
 		t.write.tried(now, false)
