Pass the keys of a leaving member on in few parts, to few others

Cause: a member that leaves cut each of its ranges up among all others, so that 62 members make some hundred ranges of six. The directory grows by that with each VM that is replaced, and every daemon that starts reads it whole.

Change: the keys go to twelve of the least loaded, in about 24 parts in all.

--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -146,3 +146,19 @@
 		require.Equal(t, loads[row.members/2].Member, moves[0].From)
 	}
 }
+
+// TestLeavingMemberIsDividedAmongAll checks that the work of a member that leaves goes to
+// a few others, however many there are, and to the least loaded.
+func TestLeavingMemberIsDividedAmongAll(t *testing.T) {
+	for _, row := range []struct{ members, receivers int }{{0, 0}, {1, 1}, {6, 6}, {61, mostReceivers}, {3199, mostReceivers}} {
+		loads := make([]Load, row.members)
+		for i := range loads {
+			loads[i] = Load{Member: server(i % 256), Accepting: true, Slots: 10, Demand: float64(i)}
+		}
+		receivers := Receivers(Takers(loads))
+		require.Len(t, receivers, row.receivers)
+		for _, r := range receivers {
+			require.Less(t, r.Demand, float64(2*mostReceivers))
+		}
+	}
+}
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
@@ -61,6 +62,22 @@
 	return takers
 }
 
+// mostReceivers is among how many members the work of one that leaves is divided:
+// each then gets a twelfth more, and the ranges are not cut up further than that.
+const mostReceivers = 12
+
+// Receivers returns the members that take the work of one that leaves: some of the
+// least loaded of takers, which are ordered by load. Several members may leave at the
+// same time, so that they are chosen at random among twice as many.
+func Receivers(takers []Load) []Load {
+	if len(takers) <= mostReceivers {
+		return takers
+	}
+	pool := slices.Clone(takers[:min(len(takers), 2*mostReceivers)])
+	rand.Shuffle(len(pool), func(i, j int) { pool[i], pool[j] = pool[j], pool[i] })
+	return pool[:mostReceivers]
+}
+
 // Move asks the owner From to pass on work to To. Demand is in From's target
 // time a second.
 type Move struct {
--- a/io/mesh/guard.go
+++ b/io/mesh/guard.go
@@ -206,7 +206,7 @@
 	if member == nil || !m.book.MayTake(now, dir, addr) {
 		return nil
 	}
-	takers := m.takers(now, member.Service, addr)
+	takers := placement.Receivers(m.takers(now, member.Service, addr))
 	if len(takers) == 0 {
 		return []directory.Entry{member.Drop()} // the planner spreads them once there is somebody
 	}
--- a/io/mesh/move.go
+++ b/io/mesh/move.go
@@ -17,6 +17,10 @@
 const (
 	// releaseTimeout is how long a release may wait for the work on its keys.
 	releaseTimeout = 1500 * time.Millisecond
+	// mostParts is about into how many parts all keys of a member are cut up when
+	// they are passed on; each is a grant to renew, and an entry that all members
+	// read when they start.
+	mostParts = 24
 )
 
 // answerYield passes some of this member's work on to another.
@@ -263,32 +267,28 @@
 	}()
 }
 
-// evacuation closes all holdings, cut up so that the other members get work by
-// their room, and names the receiver of each part. The caller holds the mutex.
+// evacuation closes all holdings, cut up so that several members get work by their
+// room, and names the receiver of each part. The caller holds the mutex.
 func (m *Mesh) evacuation() ([]*holding, []netip.AddrPort) {
 	now := boottime.Now()
-	takers := m.takers(now, m.cfg.Service, m.cfg.Self)
+	takers := placement.Receivers(m.takers(now, m.cfg.Service, m.cfg.Self))
 	if len(takers) == 0 {
 		return nil, nil
 	}
-	weights := make([]float64, len(takers))
-	for i, t := range takers {
-		weights[i] = t.Room()
-	}
+	each := max(1, min(len(takers), mostParts/max(1, len(m.holdings))))
 	var parts []*holding
 	var to []netip.AddrPort
 	for i, h := range slices.Clone(m.holdings) {
 		if h.closing {
 			continue
 		}
-		shares := weights
-		if len(m.holdings) > len(takers) {
-			// Many small ranges go whole, in turn.
-			shares = make([]float64, len(takers))
-			shares[i%len(takers)] = 1
+		receivers := rotate(takers, i*each)[:each]
+		weights := make([]float64, each)
+		for j, t := range receivers {
+			weights[j] = t.Room()
 		}
 		rest := h
-		for j, cut := range m.heat.Divide(now, h.First, h.Last, shares) {
+		for j, cut := range m.heat.Divide(now, h.First, h.Last, weights) {
 			if cut.First > cut.Last {
 				continue
 			}
@@ -297,7 +297,7 @@
 				rest = m.holdingOf(cut.Last + 1)
 			}
 			parts = append(parts, part)
-			to = append(to, takers[j].Member)
+			to = append(to, receivers[j].Member)
 		}
 	}
 	return parts, to
