--- a/io/mesh/hold_test.go
+++ b/io/mesh/hold_test.go
@@ -11,6 +11,7 @@
 	"siskinknot/core/directory"
 	"siskinknot/core/placement"
 	"siskinknot/core/retry"
+	"siskinknot/core/scheduling"
 	"siskinknot/core/tenure"
 )
 
@@ -31,6 +32,9 @@
 		metrics: newMetrics(tally.NoopScope),
 		heat:    placement.NewHeat(time.Unix(1000, 0)),
 		demand:  placement.NewDemand(),
+		loads:   map[netip.AddrPort]report{},
+
+		scheduler: scheduling.New(1),
 	}
 	entries := []directory.Entry{directory.Member{Address: self, Service: "s", State: directory.Active}.Put()}
 	for _, a := range assignments {
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -156,8 +156,9 @@
 	scheduler *scheduling.Scheduler
 	// decodeConfig reads the operator's document.
 	decodeConfig func([]byte) (*routing.Table, error)
-	// committing is held while a change of the directory is under way.
-	committing sync.Mutex
+	// committing is held while a change of the directory is under way, and packing
+	// while the whole directory is made ready for another daemon.
+	committing, packing sync.Mutex
 
 	mu   sync.Mutex
 	dir  *directory.Directory
--- a/io/mesh/sync.go
+++ b/io/mesh/sync.go
@@ -1,14 +1,20 @@
 package mesh
 
 import (
+	"bytes"
+	"compress/flate"
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/netip"
 	"syscall"
 	"time"
 
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
 	"siskinknot/core/directory"
 	"siskinknot/io/boottime"
 	"siskinknot/io/peer"
@@ -468,7 +474,18 @@
 		return &peerpb.Reply{NextOffset: end}
 	}
 	u := m.changesSince(question.GetSince())
-	return &peerpb.Reply{NextOffset: u.End, Update: toUpdate(u)}
+	if u.Base > 0 {
+		return &peerpb.Reply{NextOffset: u.End, Update: toUpdate(u)}
+	}
+	if !m.packing.TryLock() {
+		return &peerpb.Reply{NextOffset: end} // others have it, or the next heartbeat asks again
+	}
+	defer m.packing.Unlock()
+	packed, err := packUpdate(u)
+	if err != nil {
+		m.log.Warn("directory does not pack", "version", u.End, "error", err)
+	}
+	return &peerpb.Reply{NextOffset: u.End, Update: packed}
 }
 
 // answerUpdate applies a change that another daemon made. What is missing before it
@@ -526,11 +543,7 @@
 		reply, err := m.pool.AskOver(ctx, addr, peer.Requests, &peerpb.Call{Kind: &peerpb.Call_Snapshot{Snapshot: &peerpb.Snapshot{Since: since}}})
 		cancel()
 		if err == nil && reply.Update != nil {
-			m.mu.Lock()
-			if m.apply(boottime.Now(), fromUpdate(reply.Update)) {
-				m.noteLoaded("peer")
-			}
-			m.mu.Unlock()
+			m.applyFetched(addr, reply.Update)
 		}
 	}
 	if needConfig {
@@ -538,6 +551,22 @@
 	}
 }
 
+// applyFetched applies what was fetched from the daemon at addr.
+func (m *Mesh) applyFetched(addr netip.AddrPort, msg *peerpb.Update) {
+	if len(msg.Packed) > 0 {
+		var err error
+		if msg, err = unpackUpdate(msg.Packed); err != nil {
+			m.log.Warn("directory of a peer does not unpack", "peer", addr, "error", err)
+			return
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.apply(boottime.Now(), fromUpdate(msg)) {
+		m.noteLoaded("peer")
+	}
+}
+
 // toUpdate returns u in the form of the protocol.
 func toUpdate(u directory.Update) *peerpb.Update {
 	msg := &peerpb.Update{Base: u.Base, End: u.End, Entries: make([]*peerpb.DirectoryEntry, 0, len(u.Entries))}
@@ -547,6 +576,32 @@
 	return msg
 }
 
+// packUpdate returns u in the compressed form of the protocol: a whole directory is
+// a few hundred kilobytes of entries that are much alike, and many members that start
+// at a time ask for it over links that requests share.
+func packUpdate(u directory.Update) (*peerpb.Update, error) {
+	data, err := proto.Marshal(toUpdate(u))
+	if err != nil {
+		return nil, eris.Wrap(err, "encode update")
+	}
+	var packed bytes.Buffer
+	w, _ := flate.NewWriter(&packed, flate.BestSpeed) // the level is valid
+	_, _ = w.Write(data)                              // a bytes.Buffer takes all
+	_ = w.Close()
+	return &peerpb.Update{Base: u.Base, End: u.End, Packed: packed.Bytes()}, nil
+}
+
+// unpackUpdate returns the message that packUpdate compressed.
+func unpackUpdate(packed []byte) (*peerpb.Update, error) {
+	const mostBytes = 64 << 20 // twenty times the directory of a fleet of 3,200
+	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), mostBytes))
+	if err != nil {
+		return nil, eris.Wrap(err, "decompress update")
+	}
+	msg := &peerpb.Update{}
+	return msg, eris.Wrap(proto.Unmarshal(data, msg), "decode update")
+}
+
 // fromUpdate returns the update of a message.
 func fromUpdate(msg *peerpb.Update) directory.Update {
 	u := directory.Update{Base: msg.GetBase(), End: msg.GetEnd()}
--- a/io/mesh/sync_test.go
+++ b/io/mesh/sync_test.go
@@ -1,6 +1,8 @@
 package mesh
 
 import (
+	"bytes"
+	"compress/flate"
 	"context"
 	"fmt"
 	"sync"
@@ -9,8 +11,11 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"siskinknot/core/directory"
+	"siskinknot/core/placement"
+	"siskinknot/io/boottime"
 	"siskinknot/io/peer/peerpb"
 )
 
@@ -112,3 +117,91 @@
 	t.Logf("%d appends", store.appends)
 	require.LessOrEqual(t, store.appends, writesPerSecond)
 }
+
+// TestEvacuationShattersRanges checks that the keys of a member which leaves are all
+// passed on, in few parts however many others there are.
+func TestEvacuationShattersRanges(t *testing.T) {
+	for _, row := range []struct{ ranges, others, most int }{
+		{1, 6, 6},
+		{4, 6, mostParts},
+		{6, 61, mostParts},
+		{30, 61, 30},
+	} {
+		t.Run(fmt.Sprintf("%d ranges and %d others", row.ranges, row.others), func(t *testing.T) {
+			var owned []directory.Assignment
+			for i := range row.ranges {
+				owned = append(owned, directory.Assignment{
+					First: uint16(i << 16 / row.ranges), Last: uint16((i+1)<<16/row.ranges - 1), Fence: 1,
+				})
+			}
+			m := holder(owned...)
+			now := boottime.Now()
+			join := directory.Update{Base: m.dir.End(), End: m.dir.End()}
+			for _, addr := range members(row.others + 2)[2:] {
+				join.Entries = append(join.Entries, directory.Member{Address: addr, Service: "s", State: directory.Active}.Put())
+				join.End++
+				m.loads[addr] = report{Load: placement.Load{Member: addr, Accepting: true, Slots: 8}, at: now}
+			}
+			m.apply(now, join)
+			parts, to := m.evacuation()
+			require.Len(t, to, len(parts))
+			require.LessOrEqual(t, len(parts), row.most)
+			keys := 0
+			for _, p := range parts {
+				keys += p.Width()
+			}
+			require.Equal(t, directory.MaxKey+1, keys)
+		})
+	}
+}
+
+// TestWholeDirectoryFloodsLinks checks that a member which starts gets the whole
+// directory in compressed form, and that one member does not serve several at a time.
+func TestWholeDirectoryFloodsLinks(t *testing.T) {
+	const ranges = 1 << 10
+	var owned []directory.Assignment
+	for i := range ranges {
+		owned = append(owned, directory.Assignment{
+			First: uint16(i << 16 / ranges), Last: uint16((i+1)<<16/ranges - 1), Fence: uint64(i * 7919), Handover: fmt.Sprintf("%016x", i*7919),
+		})
+	}
+	m := holder(owned...)
+	reply := m.answerSnapshot(&peerpb.Snapshot{})
+	require.Less(t, proto.Size(reply), proto.Size(toUpdate(m.dir.Snapshot()))/4)
+	started := holder()
+	started.dir, started.log = directory.New(), hclog.NewNullLogger()
+	started.applyFetched(self, reply.Update)
+	require.True(t, started.loaded)
+	require.Equal(t, m.dir.Snapshot(), started.dir.Snapshot())
+
+	m.packing.Lock()
+	require.Nil(t, m.answerSnapshot(&peerpb.Snapshot{}).Update)
+}
+
+// TestCorruptDirectoryIsApplied checks that what does not unpack changes nothing.
+func TestCorruptDirectoryIsApplied(t *testing.T) {
+	whole, err := packUpdate(holder().dir.Snapshot())
+	require.NoError(t, err)
+	var other bytes.Buffer
+	w, err := flate.NewWriter(&other, flate.BestSpeed)
+	require.NoError(t, err)
+	_, err = w.Write([]byte("directory"))
+	require.NoError(t, err)
+	require.NoError(t, w.Close())
+	for _, row := range []struct {
+		name   string
+		packed []byte
+	}{
+		{"cut short", whole.Packed[:len(whole.Packed)/2]},
+		{"not compressed", []byte("directory")},
+		{"not an update", other.Bytes()},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			m := holder()
+			m.log = hclog.NewNullLogger()
+			before := m.dir.End()
+			m.applyFetched(self, &peerpb.Update{End: before + 1, Packed: row.packed})
+			require.Equal(t, before, m.dir.End())
+		})
+	}
+}
