Keep a session between daemons open while anything comes from the peer

Cause: a session whose ping was not answered within 0.6 s was closed, which ends all its requests. On a link that is full the answer waits behind other data, which shows that the peer lives.

Change: a session is closed, or avoided, only if nothing has come since the ping was sent.

--- a/io/peer/watch.go
+++ b/io/peer/watch.go
@@ -115,8 +115,12 @@
 	}
 }
 
-// ping sends a ping, unless one is under way, and closes the session if no
-// answer comes. It returns the ping under way, or nil if its answer has come.
+// heardSince reports whether anything has come from the peer after t.
+func (w *watch) heardSince(t time.Time) bool { return w.conn.QuietFor() < time.Since(t) }
+
+// ping sends a ping, unless one is under way, and closes the session if neither an
+// answer nor anything else comes: on a link that is full an answer may wait behind
+// other data. It returns the ping under way, or nil if its answer has come.
 func (w *watch) ping() *ping {
 	next := &ping{sentAt: time.Now(), answered: make(chan struct{})}
 	if !w.pinging.CompareAndSwap(nil, next) {
@@ -124,21 +128,24 @@
 	}
 	go func() {
 		roundTrip, err := w.mux.Ping()
-		if err != nil {
+		switch {
+		case err == nil:
+			w.roundTrip.Store(int64(roundTrip))
+		case w.mux.IsClosed() || !w.heardSince(next.sentAt):
 			_ = w.mux.Close()
 			return
 		}
-		w.roundTrip.Store(int64(roundTrip))
 		w.pinging.Store(nil)
 		close(next.answered)
 	}()
 	return next
 }
 
-// notSilent reports whether no ping has been under way for too long.
+// notSilent reports whether no ping has been under way for too long while nothing
+// came from the peer.
 func (w *watch) notSilent(context.Context) bool {
 	p := w.pinging.Load()
-	return p == nil || time.Since(p.sentAt) <= w.grace()
+	return p == nil || time.Since(p.sentAt) <= w.grace() || w.heardSince(p.sentAt)
 }
 
 // answers reports whether the peer seems to answer. If nothing has come from it
@@ -157,7 +164,7 @@
 	case <-p.answered:
 		return true
 	case <-deadline.C:
-		return false
+		return w.heardSince(p.sentAt)
 	case <-ctx.Done():
 		return false
 	}
