--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -359,13 +359,17 @@
 func (m *Mesh) every(interval time.Duration, task func(now time.Time)) error {
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
+	ended := time.Now()
 	for {
 		select {
 		case <-m.tomb.Dying():
 			return nil
 		case due := <-ticker.C:
-			m.metrics.timerLag.note(due, time.Now())
+			if due.After(ended) { // otherwise it waited for the task itself
+				m.metrics.timerLag.note(due, time.Now())
+			}
 			task(boottime.Now())
+			ended = time.Now()
 		}
 	}
 }
