Do not cut narrow ranges up among all members

Cause: ranges without an owner were cut up among all members if they were wider than the mean part, so that a few keys became as many ranges.

Change: a range is divided by its share of the keys, among twelve at least if it is wide enough, and into parts of eight keys at least. TestAssignShattersNarrowRanges failed before (300 ranges instead of 60 at most).

--- a/io/mesh/guard.go
+++ b/io/mesh/guard.go
@@ -226,18 +226,18 @@
 
 // spread returns the entries that give ranges to takers by their room. Wide
 // ranges are cut up, and narrow ones go whole to one after the other: each range
-// is a grant to renew.
+// is a grant to renew, and an entry that all members read when they start.
 func spread(dir *directory.Directory, ranges []directory.Assignment, takers []placement.Load) []directory.Entry {
 	total := 0
 	for i := range ranges {
 		total += ranges[i].Width()
 	}
 	entries := make([]directory.Entry, 0, len(ranges)+len(takers))
-	for i, a := range ranges {
-		receivers := rotate(takers, i)
-		if a.Width() < total/len(takers) {
-			receivers = receivers[:1]
-		}
+	next := 0
+	for _, a := range ranges {
+		n := pieces(a.Width(), total, len(takers))
+		receivers := rotate(takers, next)[:n]
+		next += n
 		owners := make([]netip.AddrPort, 0, len(receivers))
 		weights := make([]float64, 0, len(receivers))
 		for _, t := range receivers {
@@ -249,6 +249,18 @@
 	return entries
 }
 
+// pieces returns among how many of takers a range is divided that has width of the
+// total number of keys: as many as is its share of the keys, or a few if that is less,
+// since nothing is known of which of its keys are busy; and none gets a sliver.
+func pieces(width, total, takers int) int {
+	const few, leastWidth = 12, 8
+	if width < total/takers {
+		return 1
+	}
+	share := (width*takers + total - 1) / total
+	return max(1, min(takers, width/leastWidth, max(share, few)))
+}
+
 // rotate returns list beginning with its element i.
 func rotate(list []placement.Load, i int) []placement.Load {
 	i %= len(list)
--- a/io/mesh/sync_test.go
+++ b/io/mesh/sync_test.go
@@ -205,3 +205,39 @@
 		})
 	}
 }
+
+// TestAssignShattersNarrowRanges gives away ranges that have lost their owner, and checks
+// that all keys get one, in few parts.
+func TestAssignShattersNarrowRanges(t *testing.T) {
+	for _, row := range []struct {
+		name                  string
+		ranges, width, takers int
+		most                  int
+	}{
+		{"all keys of a new service", 1, 1 << 16, 62, 62},
+		{"the keys of one owner", 4, 1 << 12, 6, 24},
+		{"narrow ranges", 30, 10, 62, 60},
+		{"single keys", 60, 1, 62, 60},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			var takers []placement.Load
+			for _, addr := range members(row.takers) {
+				takers = append(takers, placement.Load{Member: addr, Slots: 8})
+			}
+			var ranges []directory.Assignment
+			for i := range row.ranges {
+				first := i * (1 << 16) / row.ranges
+				ranges = append(ranges, directory.Assignment{Service: "s", First: uint16(first), Last: uint16(first + row.width - 1)})
+			}
+			dir := directory.New()
+			entries := spread(dir, ranges, takers)
+			require.True(t, dir.Apply(directory.Update{End: 1, Entries: entries}))
+			require.LessOrEqual(t, dir.Ranges(), row.most)
+			keys := 0
+			for _, a := range dir.Assignments("s") {
+				keys += a.Width()
+			}
+			require.Equal(t, row.ranges*row.width, keys)
+		})
+	}
+}
