--- a/io/mesh/move.go
+++ b/io/mesh/move.go
@@ -206,7 +206,7 @@
 		}
 		parts[a] = append(parts[a], directory.Part{First: p.holding.First, Last: p.holding.Last, To: p.to, Handover: p.handover})
 	}
-	var entries []directory.Entry
+	entries := make([]directory.Entry, 0, 2*len(batch))
 	for _, a := range order {
 		entries = append(entries, dir.Move(a, parts[a])...)
 	}
