Send a guardian the whole directory in a form that fits a message

A guardian that has yet to confirm a fence was sent the whole directory as a call, and a call may have 256 KB: from some 1,500 ranges on it was refused, and the keys of a lost member would wait for 13 s instead of 1.2 s.

Change: a whole directory is sent compressed in this place too. TestWholeDirectoryExceedsMessage shows that the former message of 2,048 ranges is too large, and that the present one is applied. The number of receivers has one place.

--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -150,7 +150,7 @@
 // TestLeavingMemberIsDividedAmongAll checks that the work of a member that leaves goes to
 // a few others, however many there are, and to the least loaded.
 func TestLeavingMemberIsDividedAmongAll(t *testing.T) {
-	for _, row := range []struct{ members, receivers int }{{0, 0}, {1, 1}, {6, 6}, {61, mostReceivers}, {3199, mostReceivers}} {
+	for _, row := range []struct{ members, receivers int }{{0, 0}, {1, 1}, {6, 6}, {61, MostReceivers}, {3199, MostReceivers}} {
 		loads := make([]Load, row.members)
 		for i := range loads {
 			loads[i] = Load{Member: server(i % 256), Accepting: true, Slots: 10, Demand: float64(i)}
@@ -158,7 +158,7 @@
 		receivers := Receivers(Takers(loads))
 		require.Len(t, receivers, row.receivers)
 		for _, r := range receivers {
-			require.Less(t, r.Demand, float64(2*mostReceivers))
+			require.Less(t, r.Demand, float64(2*MostReceivers))
 		}
 	}
 }
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -62,20 +62,20 @@
 	return takers
 }
 
-// mostReceivers is among how many members the work of one that leaves is divided:
+// MostReceivers is among how many members the work of one that leaves is divided:
 // each then gets a twelfth more, and the ranges are not cut up further than that.
-const mostReceivers = 12
+const MostReceivers = 12
 
 // Receivers returns the members that take the work of one that leaves: some of the
 // least loaded of takers, which are ordered by load. Several members may leave at the
 // same time, so that they are chosen at random among twice as many.
 func Receivers(takers []Load) []Load {
-	if len(takers) <= mostReceivers {
+	if len(takers) <= MostReceivers {
 		return takers
 	}
-	pool := slices.Clone(takers[:min(len(takers), 2*mostReceivers)])
+	pool := slices.Clone(takers[:min(len(takers), 2*MostReceivers)])
 	rand.Shuffle(len(pool), func(i, j int) { pool[i], pool[j] = pool[j], pool[i] })
-	return pool[:mostReceivers]
+	return pool[:MostReceivers]
 }
 
 // Move asks the owner From to pass on work to To. Demand is in From's target
--- a/io/mesh/guard.go
+++ b/io/mesh/guard.go
@@ -253,12 +253,12 @@
 // total number of keys: as many as is its share of the keys, or a few if that is less,
 // since nothing is known of which of its keys are busy; and none gets a sliver.
 func pieces(width, total, takers int) int {
-	const few, leastWidth = 12, 8
+	const leastWidth = 8
 	if width < total/takers {
 		return 1
 	}
 	share := (width*takers + total - 1) / total
-	return max(1, min(takers, width/leastWidth, max(share, few)))
+	return max(1, min(takers, width/leastWidth, max(share, placement.MostReceivers)))
 }
 
 // rotate returns list beginning with its element i.
--- a/io/mesh/sync.go
+++ b/io/mesh/sync.go
@@ -432,7 +432,15 @@
 	ctx, cancel := m.timeout(peerTimeout)
 	defer cancel()
 	m.metrics.told.Inc(1)
-	reply, err := m.pool.AskOver(ctx, addr, purpose, &peerpb.Call{Kind: &peerpb.Call_Update{Update: toUpdate(u)}})
+	msg := toUpdate(u)
+	if u.Base == 0 {
+		var err error
+		if msg, err = packUpdate(u); err != nil {
+			m.log.Warn("directory does not pack", "version", u.End, "error", err)
+			return 0
+		}
+	}
+	reply, err := m.pool.AskOver(ctx, addr, purpose, &peerpb.Call{Kind: &peerpb.Call_Update{Update: msg}})
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if errors.Is(err, syscall.ECONNREFUSED) {
@@ -490,10 +498,14 @@
 
 // answerUpdate applies a change that another daemon made. What is missing before it
 // is asked for when heartbeats show that it does not come.
-func (m *Mesh) answerUpdate(update *peerpb.Update) *peerpb.Reply {
+func (m *Mesh) answerUpdate(msg *peerpb.Update) *peerpb.Reply {
+	u, err := unpackUpdate(msg)
+	if err != nil {
+		return &peerpb.Reply{Error: "update does not unpack: " + err.Error()}
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.apply(boottime.Now(), fromUpdate(update))
+	m.apply(boottime.Now(), u)
 	return &peerpb.Reply{Granted: true, NextOffset: m.dir.End()}
 }
 
@@ -553,16 +565,14 @@
 
 // applyFetched applies what was fetched from the daemon at addr.
 func (m *Mesh) applyFetched(addr netip.AddrPort, msg *peerpb.Update) {
-	if len(msg.Packed) > 0 {
-		var err error
-		if msg, err = unpackUpdate(msg.Packed); err != nil {
-			m.log.Warn("directory of a peer does not unpack", "peer", addr, "error", err)
-			return
-		}
+	u, err := unpackUpdate(msg)
+	if err != nil {
+		m.log.Warn("directory of a peer does not unpack", "peer", addr, "error", err)
+		return
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.apply(boottime.Now(), fromUpdate(msg)) {
+	if m.apply(boottime.Now(), u) {
 		m.noteLoaded("peer")
 	}
 }
@@ -591,15 +601,21 @@
 	return &peerpb.Update{Base: u.Base, End: u.End, Packed: packed.Bytes()}, nil
 }
 
-// unpackUpdate returns the message that packUpdate compressed.
-func unpackUpdate(packed []byte) (*peerpb.Update, error) {
-	const mostBytes = 64 << 20 // twenty times the directory of a fleet of 3,200
-	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), mostBytes))
+// unpackUpdate returns the update of a message, in whichever form it is.
+func unpackUpdate(msg *peerpb.Update) (directory.Update, error) {
+	const mostBytes = 64 << 20 // six times the directory of a fleet of 3,200
+	if len(msg.GetPacked()) == 0 {
+		return fromUpdate(msg), nil
+	}
+	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(msg.Packed)), mostBytes))
 	if err != nil {
-		return nil, eris.Wrap(err, "decompress update")
+		return directory.Update{}, eris.Wrap(err, "decompress update")
+	}
+	unpacked := &peerpb.Update{}
+	if err := proto.Unmarshal(data, unpacked); err != nil {
+		return directory.Update{}, eris.Wrap(err, "decode update")
 	}
-	msg := &peerpb.Update{}
-	return msg, eris.Wrap(proto.Unmarshal(data, msg), "decode update")
+	return fromUpdate(unpacked), nil
 }
 
 // fromUpdate returns the update of a message.
--- a/io/mesh/sync_test.go
+++ b/io/mesh/sync_test.go
@@ -16,6 +16,7 @@
 	"siskinknot/core/directory"
 	"siskinknot/core/placement"
 	"siskinknot/io/boottime"
+	"siskinknot/io/peer"
 	"siskinknot/io/peer/peerpb"
 )
 
@@ -178,6 +179,27 @@
 	require.Nil(t, m.answerSnapshot(&peerpb.Snapshot{}).Update)
 }
 
+// TestWholeDirectoryExceedsMessage checks that a member which has missed more changes
+// than are kept can be sent the whole directory as an update: a guardian has to confirm
+// a fence before keys pass on.
+func TestWholeDirectoryExceedsMessage(t *testing.T) {
+	const ranges = 1 << 11
+	var owned []directory.Assignment
+	for i := range ranges {
+		owned = append(owned, directory.Assignment{
+			First: uint16(i << 16 / ranges), Last: uint16((i+1)<<16/ranges - 1), Fence: uint64(i * 7919), Handover: fmt.Sprintf("%016x", i*7919),
+		})
+	}
+	m := holder(owned...)
+	require.Greater(t, proto.Size(toUpdate(m.dir.Snapshot())), peer.MaxMessageBytes)
+	packed, err := packUpdate(m.changesSince(1))
+	require.NoError(t, err)
+	require.Less(t, proto.Size(packed), peer.MaxMessageBytes/2)
+	behind := holder()
+	require.Equal(t, m.dir.End(), behind.answerUpdate(packed).NextOffset)
+	require.Equal(t, m.dir.Snapshot(), behind.dir.Snapshot())
+}
+
 // TestCorruptDirectoryIsApplied checks that what does not unpack changes nothing.
 func TestCorruptDirectoryIsApplied(t *testing.T) {
 	whole, err := packUpdate(holder().dir.Snapshot())
@@ -200,7 +222,9 @@
 			m := holder()
 			m.log = hclog.NewNullLogger()
 			before := m.dir.End()
-			m.applyFetched(self, &peerpb.Update{End: before + 1, Packed: row.packed})
+			corrupt := &peerpb.Update{End: before + 1, Packed: row.packed}
+			m.applyFetched(self, corrupt)
+			require.NotEmpty(t, m.answerUpdate(corrupt).Error)
 			require.Equal(t, before, m.dir.End())
 		})
 	}
