--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -9,7 +9,8 @@
 //
 // The tasks of a Mesh, each in a file of its own:
 //
-//	sync       follows the directory and writes to it (sync.go)
+//	sync       follows the directory and writes to it (sync.go), and passes changes
+//	           on between members (transfer.go)
 //	tend       joins, names guardians, reads the store (tend.go)
 //	heartbeat  tells other members of itself, and renews the lease (heartbeat.go)
 //	guard      fences silent members and passes on their keys (guard.go)
--- a/io/mesh/sync_test.go
+++ b/io/mesh/sync_test.go
@@ -44,6 +44,17 @@
 	require.Zero(t, m.answerSnapshot(&peerpb.Snapshot{}).Update.Base, "a member that knows nothing gets all")
 }
 
+// evenRanges returns n assignments that together hold all keys.
+func evenRanges(n int) []directory.Assignment {
+	list := make([]directory.Assignment, n)
+	for i := range list {
+		list[i] = directory.Assignment{
+			First: uint16(i << 16 / n), Last: uint16((i+1)<<16/n - 1), Fence: uint64(1 + i*7919), Handover: fmt.Sprintf("%016x", i*7919),
+		}
+	}
+	return list
+}
+
 // countingStore is a store of one directory that counts its calls.
 type countingStore struct {
 	// taking is how long an append takes.
@@ -77,12 +88,8 @@
 // TestEvacuationAppendsOncePerRange passes all keys of a member on, and checks that
 // ranges which are released at the same time share a change of the directory.
 func TestEvacuationAppendsOncePerRange(t *testing.T) {
-	const ranges, width = 16, 1 << 12
-	var owned []directory.Assignment
-	for i := range ranges {
-		owned = append(owned, directory.Assignment{First: uint16(i * width), Last: uint16((i+1)*width - 1), Fence: 1})
-	}
-	m := holder(owned...)
+	const ranges = 16
+	m := holder(evenRanges(ranges)...)
 	store := &countingStore{end: m.dir.End(), taking: 20 * time.Millisecond}
 	m.store, m.log = store, hclog.NewNullLogger()
 	to := members(3)[2]
@@ -129,13 +136,7 @@
 		{30, 61, 30},
 	} {
 		t.Run(fmt.Sprintf("%d ranges and %d others", row.ranges, row.others), func(t *testing.T) {
-			var owned []directory.Assignment
-			for i := range row.ranges {
-				owned = append(owned, directory.Assignment{
-					First: uint16(i << 16 / row.ranges), Last: uint16((i+1)<<16/row.ranges - 1), Fence: 1,
-				})
-			}
-			m := holder(owned...)
+			m := holder(evenRanges(row.ranges)...)
 			now := boottime.Now()
 			join := directory.Update{Base: m.dir.End(), End: m.dir.End()}
 			for _, addr := range members(row.others + 2)[2:] {
@@ -159,14 +160,7 @@
 // TestWholeDirectoryFloodsLinks checks that a member which starts gets the whole
 // directory in compressed form, and that one member does not serve several at a time.
 func TestWholeDirectoryFloodsLinks(t *testing.T) {
-	const ranges = 1 << 10
-	var owned []directory.Assignment
-	for i := range ranges {
-		owned = append(owned, directory.Assignment{
-			First: uint16(i << 16 / ranges), Last: uint16((i+1)<<16/ranges - 1), Fence: uint64(i * 7919), Handover: fmt.Sprintf("%016x", i*7919),
-		})
-	}
-	m := holder(owned...)
+	m := holder(evenRanges(1 << 10)...)
 	reply := m.answerSnapshot(&peerpb.Snapshot{})
 	require.Less(t, proto.Size(reply), proto.Size(toUpdate(m.dir.Snapshot()))/4)
 	started := holder()
@@ -183,14 +177,7 @@
 // than are kept can be sent the whole directory as an update: a guardian has to confirm
 // a fence before keys pass on.
 func TestWholeDirectoryExceedsMessage(t *testing.T) {
-	const ranges = 1 << 11
-	var owned []directory.Assignment
-	for i := range ranges {
-		owned = append(owned, directory.Assignment{
-			First: uint16(i << 16 / ranges), Last: uint16((i+1)<<16/ranges - 1), Fence: uint64(i * 7919), Handover: fmt.Sprintf("%016x", i*7919),
-		})
-	}
-	m := holder(owned...)
+	m := holder(evenRanges(1 << 11)...)
 	require.Greater(t, proto.Size(toUpdate(m.dir.Snapshot())), peer.MaxMessageBytes)
 	packed, err := packUpdate(m.changesSince(1))
 	require.NoError(t, err)
