Compare the other guardian's silence with one's own before waiting for it

Cause: the first guardian of a silent member asked the second whether it had heard the member less than 0.5 s ago. Both hear the same heartbeat within milliseconds, so 0.50 s at one can be 0.499 s at the other; the first then waited 0.4 s more, and the keys came back after 2.045 s (promised: 2 s).

Change: the answer counts only if it shows a later heartbeat, half an interval or more after the last one received here. TestHeardLaterHeartbeat fails with the former rule (rows 1 and 2).

--- a/core/tenure/scenario_test.go
+++ b/core/tenure/scenario_test.go
@@ -199,3 +199,28 @@
 		})
 	}
 }
+
+// TestHeardLaterHeartbeat checks that a member is not taken to be heard by another
+// guardian because that guardian received the same last heartbeat a moment later:
+// the fence then came 0.4 s late.
+func TestHeardLaterHeartbeat(t *testing.T) {
+	for _, row := range []struct {
+		name       string
+		own, other time.Duration
+		heard      bool
+	}{
+		{"same heartbeat, just within the timeout there", HeartbeatTimeout + time.Millisecond, HeartbeatTimeout - time.Millisecond, false},
+		{"same heartbeat, 20 ms later there", HeartbeatTimeout + 10*time.Millisecond, HeartbeatTimeout - 10*time.Millisecond, false},
+		{"same heartbeat, just beyond the timeout at both", HeartbeatTimeout + time.Millisecond, HeartbeatTimeout + time.Millisecond, false},
+		{"next heartbeat arrived there", HeartbeatTimeout + 20*time.Millisecond, HeartbeatTimeout + 20*time.Millisecond - RenewInterval, true},
+		{"next heartbeat arrived there late", HeartbeatTimeout, HeartbeatTimeout - RenewInterval + 100*time.Millisecond, true},
+		{"later heartbeats arrived there", 3 * HeartbeatTimeout, 10 * time.Millisecond, true},
+		{"later heartbeat, but beyond the timeout", 3 * HeartbeatTimeout, HeartbeatTimeout, false},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			if heard := HeardLaterHeartbeat(row.own, row.other); heard != row.heard {
+				t.Errorf("HeardLaterHeartbeat(%v, %v) = %v, want %v", row.own, row.other, heard, row.heard)
+			}
+		})
+	}
+}
--- a/core/tenure/tenure.go
+++ b/core/tenure/tenure.go
@@ -81,6 +81,16 @@
 	HeartbeatTimeout = 500 * time.Millisecond
 )
 
+// HeardLaterHeartbeat reports whether another member has received a later heartbeat
+// of an unresponsive member than this one. ownSilence and otherSilence are the times
+// since the last heartbeat that each of them received. Both usually receive the
+// same heartbeat within milliseconds of each other, so that one of them may still be
+// just within HeartbeatTimeout when the other is just beyond it; only a difference
+// of about an interval shows that there was a later heartbeat.
+func HeardLaterHeartbeat(ownSilence, otherSilence time.Duration) bool {
+	return otherSilence < HeartbeatTimeout && otherSilence < ownSilence-RenewInterval/2
+}
+
 // rule is a bit mask of protocol rules. A test disables a rule to show that it
 // detects the violation that the rule prevents.
 type rule uint
--- a/io/mesh/failover.go
+++ b/io/mesh/failover.go
@@ -132,10 +132,11 @@
 	}()
 }
 
-// heardByOtherGuardian reports whether another guardian of addr has heard from it
-// within the heartbeat timeout.
+// heardByOtherGuardian reports whether another guardian of addr has received a later
+// heartbeat from it than this member.
 func (m *Mesh) heardByOtherGuardian(addr netip.AddrPort) bool {
 	m.mu.Lock()
+	ownSilence := boottime.Now().Sub(m.leases.LastHeartbeatAt(addr))
 	var guardians []netip.AddrPort
 	if member := m.dir.Member(addr); member != nil {
 		guardians = slices.Clone(member.Guardians)
@@ -148,7 +149,7 @@
 		ctx, cancel := m.withTimeout(peerTimeout / 2)
 		reply, err := m.pool.Call(ctx, guardian, &peerpb.Call{Kind: &peerpb.Call_Heard{Heard: &peerpb.Heard{Member: addr.String()}}})
 		cancel()
-		if err == nil && reply.HeardMs >= 0 && time.Duration(reply.HeardMs)*time.Millisecond < tenure.HeartbeatTimeout {
+		if err == nil && reply.HeardMs >= 0 && tenure.HeardLaterHeartbeat(ownSilence, time.Duration(reply.HeardMs)*time.Millisecond) {
 			return true
 		}
 	}
