Bound the batch that the log writer takes from its queue

Cause: the writing task took whatever was in the queue into one batch until the queue was empty. While lines arrive faster than they are taken, the batch grows without bound, and none of its lines counts as dropped.

Change: a batch holds at most 256 lines. TestBatchIsBounded fails without it (1,024 lines in a batch). TestNobodyReads allowed for one line beside the queue; that was the length of a batch before lines were written in batches, so it now allows for a batch, and writes for longer than the batch delay, with which it failed each time before the change (8,072 dropped, at least 8,960 wanted).

--- a/io/logwriter/logwriter.go
+++ b/io/logwriter/logwriter.go
@@ -28,6 +28,9 @@
 	// queueLines is the capacity of the queue. It holds the lines of one second
 	// and a burst.
 	queueLines = 1024
+	// maxBatchLines bounds the lines that are taken from the queue for one write. If
+	// the output is blocked, these lines are not counted as dropped.
+	maxBatchLines = 256
 	// batchDelay is how long the first line of a batch waits for further lines,
 	// to save system calls. A process that is killed loses at most the lines of
 	// this period.
@@ -71,7 +74,8 @@
 			case now := <-ticker.C:
 				w.reportDropped(now)
 			case <-w.tomb.Dying():
-				w.writeBatch(nil)
+				for w.writeBatch(nil) {
+				}
 				w.reportDropped(time.Now())
 				return nil
 			}
@@ -136,20 +140,23 @@
 	}
 }
 
-// writeBatch writes first and all queued lines in one call.
-func (w *Writer) writeBatch(first []byte) {
-	batch := first
-	for {
+// writeBatch writes first, which may be nil, and queued lines in one call, and
+// reports whether lines may be left in the queue.
+func (w *Writer) writeBatch(first []byte) bool {
+	batch, lines := first, min(len(first), 1)
+	for ; lines < maxBatchLines; lines++ {
 		select {
 		case line := <-w.queue:
 			batch = append(batch, line...)
+			continue
 		default:
-			if len(batch) > 0 {
-				_, _ = w.out.Write(batch)
-			}
-			return
 		}
+		break
+	}
+	if len(batch) > 0 {
+		_, _ = w.out.Write(batch)
 	}
+	return lines == maxBatchLines
 }
 
 // Close writes the queued lines and stops the background goroutine. It waits for at
