Give the stand-ins' processes ports below the ephemeral range

Cause (TestLostTogether, bind: address already in use): targets and daemons got their first port from the ephemeral range, and a connection that a daemon opened from the same address could be given that port while the process was down.

Change: the harness chooses a free port from 10000 to 32767 for each process.

--- a/standin/processes/processes.go
+++ b/standin/processes/processes.go
@@ -22,6 +22,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -208,11 +210,38 @@
 	s.Target.Kill()
 }
 
+// freePort returns a port of ip that is free and lies below the range from which
+// the kernel takes the ports of outgoing connections. A process that listens on
+// such a port can be started there again: no outgoing connection can have been
+// given its port meanwhile.
+func freePort(ip netip.Addr) (uint16, error) {
+	const (
+		firstPort, endPort = 10000, 32768
+		attempts           = 100
+	)
+	var err error
+	for range attempts {
+		port := uint16(firstPort + rand.IntN(endPort-firstPort))
+		var l net.Listener
+		if l, err = net.Listen("tcp", netip.AddrPortFrom(ip, port).String()); err == nil {
+			return port, l.Close()
+		}
+	}
+	return 0, fmt.Errorf("no port of %v is free: %w", ip, err)
+}
+
 // StartTarget starts the target and waits until it listens. If it ran before, it
 // listens on the same port. StartTarget returns an error if the target does not
 // listen within 20 s.
 func (s *Server) StartTarget() error {
-	listen := netip.AddrPortFrom(s.IP, s.TargetAddr.Port())
+	port := s.TargetAddr.Port()
+	if port == 0 {
+		var err error
+		if port, err = freePort(s.IP); err != nil {
+			return err
+		}
+	}
+	listen := netip.AddrPortFrom(s.IP, port)
 	args := []string{"target", "-name", s.Spec.Name, "-listen", listen.String(), "-shared", s.fleet.Dir}
 	target, err := s.fleet.run("standin", append(args, s.Spec.TargetArgs...)...)
 	if err != nil {
@@ -236,6 +265,9 @@
 		}
 		s.Proxy = proxy
 	}
+	if err := s.choosePorts(); err != nil {
+		return err
+	}
 	if err := s.writeConfig(); err != nil {
 		return err
 	}
@@ -258,15 +290,30 @@
 	return nil
 }
 
+// choosePorts chooses the ports of the daemon if it has none yet.
+func (s *Server) choosePorts() error {
+	for _, addr := range []*netip.AddrPort{&s.DaemonAddr, &s.CallerAddr, &s.OperatorAddr} {
+		if addr.Port() != 0 {
+			continue
+		}
+		port, err := freePort(s.IP)
+		if err != nil {
+			return err
+		}
+		*addr = netip.AddrPortFrom(s.IP, port)
+	}
+	return nil
+}
+
 // writeConfig writes the daemon's configuration file.
 func (s *Server) writeConfig() error {
 	fields := map[string]any{
 		"server":            s.Spec.Name,
 		"service":           s.Spec.Service,
 		"availability_zone": s.Spec.Zone,
-		"daemon_address":    netip.AddrPortFrom(s.IP, s.DaemonAddr.Port()),
-		"caller_address":    netip.AddrPortFrom(s.IP, s.CallerAddr.Port()),
-		"operator_address":  netip.AddrPortFrom(s.IP, s.OperatorAddr.Port()),
+		"daemon_address":    s.DaemonAddr,
+		"caller_address":    s.CallerAddr,
+		"operator_address":  s.OperatorAddr,
 		"target_address":    s.TargetAddr,
 		"log_address":       s.fleet.LogAddr,
 	}
