--- a/io/mesh/grants.go
+++ b/io/mesh/grants.go
@@ -207,6 +207,9 @@
 		h.granted = false
 		m.log.Warn("target has seen a higher fence", "first", a.First, "last", a.Last, "fence", a.Fence)
 	case GrantUnknown:
+		m.log.Warn("grant got no answer", "first", a.First, "last", a.Last, "fence", a.Fence, "hold_ms", hold.Milliseconds(),
+			"waited_ms", now.Sub(sentAt).Milliseconds(), "may_hold_ms", h.mayHoldUntil.Sub(now).Milliseconds(),
+			"target_heard_ms", now.Sub(m.target.heardAt).Milliseconds())
 		h.granted = h.granted && now.Before(h.grantedUntil)
 		h.unansweredUntil = h.mayHoldUntil
 	case GrantTargetDown:
