Grant keys in the answers to heartbeats where targets take them there

Cause: the targets of some services take no grant calls; they list what they hold in each heartbeat, and the answer says what they are to hold.

A request for a key whose next grant is too far away is refused at once with that time as Retry-After.

Found on the way: a daemon that has just started and is told to stop transferred keys at once, while its target might hold them under a grant of the former process (TestRestartedDaemonWaitsForFormerGrants failed: the time was zero).

--- a/cmd/siskinknot/mesh.go
+++ b/cmd/siskinknot/mesh.go
@@ -143,13 +143,15 @@
 	n.target = platform.NewTarget(cfg.TargetAddress)
 	n.peerPool = peer.NewPool(cfg.Server, cfg.DaemonAddress.Addr(), log.Named("peer"))
 	n.mesh = mesh.New(mesh.Config{
-		Self:       cfg.DaemonAddress,
-		Service:    cfg.Service,
-		Zone:       cfg.Zone,
-		MaxGrant:   cfg.MaxGrant.Duration(),
-		DrainTime:  cfg.Drain.Duration(),
-		RetryRatio: cfg.RetryRatio,
-		RetryBurst: cfg.RetryBurst,
+		Self:      cfg.DaemonAddress,
+		Service:   cfg.Service,
+		Zone:      cfg.Zone,
+		MaxGrant:  cfg.MaxGrant.Duration(),
+		DrainTime: cfg.Drain.Duration(),
+
+		HeartbeatInterval: cfg.HeartbeatInterval.Duration(),
+		RetryRatio:        cfg.RetryRatio,
+		RetryBurst:        cfg.RetryBurst,
 	}, mesh.Deps{
 		Store:        store,
 		Target:       n.target,
--- a/io/config/mesh.go
+++ b/io/config/mesh.go
@@ -35,6 +35,8 @@
 	// how long the target accepts requests after its departure was acknowledged.
 	MaxGrant record.Millis `json:"max_grant_ms"`
 	Drain    record.Millis `json:"drain_ms"`
+	// HeartbeatInterval is the time between two heartbeats of the target.
+	HeartbeatInterval record.Millis `json:"heartbeat_interval_ms"`
 	// ShutdownLimitS is the maximum duration of a shutdown of the daemon, in
 	// seconds.
 	ShutdownLimitS float64 `json:"shutdown_limit_s"`
@@ -54,6 +56,7 @@
 var meshDefaults = Mesh{
 	MaxGrant:             10_000 * millisecond,
 	Drain:                2_000 * millisecond,
+	HeartbeatInterval:    1_000 * millisecond,
 	ShutdownLimitS:       6,
 	RetryRatio:           0.2,
 	RetryBurst:           20,
--- a/io/mesh/admission.go
+++ b/io/mesh/admission.go
@@ -192,13 +192,15 @@
 
 // awaitGrant waits until the target holds a grant of key, and returns nil then.
 // It returns why the request is refused if this member does not own the key, or
-// if the grant does not arrive in time.
+// if the grant does not arrive in time. If it is known that it will not, the request is
+// refused at once.
 func (m *Mesh) awaitGrant(ctx context.Context, head *request.Head, key uint16) outcome.Result {
 	var timeout <-chan time.Time
 	for {
 		now := boottime.Now()
 		m.mu.Lock()
 		refusal := m.ownershipRefusal(now, key)
+		grantIn := m.nextGrantIn(now)
 		changed := m.changed
 		m.mu.Unlock()
 		notRun, refused := refusal.(outcome.NotRun)
@@ -208,8 +210,13 @@
 		if notRun.Reason == outcome.NotOwner {
 			return refusal
 		}
+		wait := min(max(grantWait, m.cfg.HeartbeatInterval/2), head.Deadline.Sub(now)/3)
+		if grantIn > wait {
+			notRun.RetryAfter = grantIn
+			return notRun
+		}
 		if timeout == nil {
-			timeout = time.After(min(grantWait, head.Deadline.Sub(now)/3))
+			timeout = time.After(wait)
 		}
 		select {
 		case <-changed:
--- a/io/mesh/grants.go
+++ b/io/mesh/grants.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"siskinknot/core/directory"
+	"siskinknot/core/grantsync"
+	"siskinknot/core/tenure"
 	"siskinknot/io/boottime"
 )
 
@@ -12,9 +14,6 @@
 	grantInterval = 50 * time.Millisecond
 	// grantTimeout limits a grant call; the target is on the same VM.
 	grantTimeout = 400 * time.Millisecond
-	// clockRateMargin covers a target's clock that runs up to 2% slow, and the
-	// error of this daemon's clock.
-	clockRateMargin = 1.03
 	// minGrant is the shortest grant that is worth sending.
 	minGrant = 150 * time.Millisecond
 	// renewFraction is the fraction of a grant's duration after which it is
@@ -33,16 +32,21 @@
 	granted      bool
 	grantedUntil time.Time
 	grantedFor   time.Duration
-	// mayHoldUntil is when the target certainly no longer holds the keys if no
-	// further grant is sent.
-	mayHoldUntil time.Time
+	// grant holds until when the target may hold the keys.
+	grant grantsync.Grant
 	// grantInFlight is set while a grant call is in progress. unansweredUntil
 	// is when the last grant that got no response has certainly expired, even
 	// if it was applied late.
 	grantInFlight   bool
 	unansweredUntil time.Time
 	// closing is set once the keys are being transferred to another owner.
-	closing bool
+	// closeRequested is set as well; if the target gets its grants in answers to
+	// heartbeats, closing follows with the next answer, at closedAt. unlisted counts
+	// the heartbeats since the range was last listed as held.
+	closing        bool
+	closeRequested bool
+	closedAt       time.Time
+	unlisted       int
 	// ownedSince is when this member became the owner.
 	ownedSince time.Time
 }
@@ -70,6 +74,7 @@
 		if next <= last {
 			part := &holding{Assignment: *a, ownedSince: now}
 			part.First, part.Last = uint16(next), uint16(last)
+			part.grant.MayHoldUntil = m.formerGrantsEnd(now)
 			list = append(list, part)
 		}
 	}
@@ -90,11 +95,27 @@
 	return list
 }
 
+// formerGrantsEnd returns the time until which the target may hold keys under grants of
+// this daemon's former process, or zero if that is certainly over. The former process
+// granted keys for no longer than its lease. The caller holds the mutex.
+func (m *Mesh) formerGrantsEnd(now time.Time) time.Time {
+	me := m.dir.Member(m.cfg.Self)
+	if me == nil {
+		return time.Time{}
+	}
+	end := m.startedAt.Add(time.Duration(float64(tenure.LeaseOf(me)) * grantsync.ClockRateMargin))
+	if now.After(end) {
+		return time.Time{}
+	}
+	return end
+}
+
 // dropGrants clears the state of all grants after the target's process has
 // exited. The caller holds the mutex.
 func (m *Mesh) dropGrants() {
 	for _, h := range m.holdings {
-		h.granted, h.grantedUntil, h.mayHoldUntil = false, time.Time{}, time.Time{}
+		h.granted, h.grantedUntil, h.grant = false, time.Time{}, grantsync.Grant{}
+		h.unlisted = 0
 	}
 }
 
@@ -129,6 +150,9 @@
 func (m *Mesh) startDueGrants(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if _, byCall := m.delivery.(callDelivery); !byCall {
+		return // the answers to the target's heartbeats grant the keys
+	}
 	if m.evacuating || !m.divided() || !m.mayGrant() {
 		return
 	}
@@ -172,7 +196,7 @@
 	if !until.After(now) {
 		return 0 // subtracting from a zero time would overflow
 	}
-	return min(time.Duration(float64(until.Sub(now))/clockRateMargin), m.cfg.MaxGrant)
+	return min(time.Duration(float64(until.Sub(now))/grantsync.ClockRateMargin), m.cfg.MaxGrant)
 }
 
 // sendGrant sends one grant to the target and records the result.
@@ -188,8 +212,8 @@
 		m.mu.Unlock()
 		return
 	}
-	if until := sentAt.Add(grantTimeout + time.Duration(float64(hold)*clockRateMargin)); until.After(h.mayHoldUntil) {
-		h.mayHoldUntil = until
+	if until := sentAt.Add(grantTimeout + time.Duration(float64(hold)*grantsync.ClockRateMargin)); until.After(h.grant.MayHoldUntil) {
+		h.grant.MayHoldUntil = until
 	}
 	m.mu.Unlock()
 	res := m.targetClient.Grant(ctx, a, hold)
@@ -201,7 +225,7 @@
 		newlyGranted := !h.granted
 		h.granted, h.grantedFor = true, hold
 		h.grantedUntil = sentAt.Add(hold)
-		h.mayHoldUntil = now.Add(time.Duration(float64(hold) * clockRateMargin))
+		h.grant.MayHoldUntil = now.Add(time.Duration(float64(hold) * grantsync.ClockRateMargin))
 		if newlyGranted {
 			m.log.Info("keys granted", "first", a.First, "last", a.Last, "fence", a.Fence, "warm", a.Handover != "")
 			m.notify()
@@ -210,11 +234,11 @@
 		h.granted = false
 		m.log.Warn("target has seen a higher fence", "first", a.First, "last", a.Last, "fence", a.Fence)
 	case GrantUnknown:
-		m.log.Warn("grant got no answer", "first", a.First, "last", a.Last, "fence", a.Fence, "hold_ms", hold.Milliseconds(),
-			"waited_ms", now.Sub(sentAt).Milliseconds(), "may_hold_ms", h.mayHoldUntil.Sub(now).Milliseconds(),
+		m.log.Warn("grant got no answer", "first", a.First, "last", a.Last, "fence", a.Fence, "granted_ms", hold.Milliseconds(),
+			"waited_ms", now.Sub(sentAt).Milliseconds(), "expires_in_ms", h.grant.MayHoldUntil.Sub(now).Milliseconds(),
 			"target_heard_ms", now.Sub(m.target.heardAt).Milliseconds())
 		h.granted = h.granted && now.Before(h.grantedUntil)
-		h.unansweredUntil = h.mayHoldUntil
+		h.unansweredUntil = h.grant.MayHoldUntil
 	case GrantTargetDown:
 	}
 	m.mu.Unlock()
@@ -240,30 +264,25 @@
 	}))
 }
 
-// release ends the target's grant of the holding h, which is closing, and
-// returns the handover for the next owner. The handover is empty if the target
-// did not respond and the grant had to expire. ok is false if the daemon
-// stopped first.
+// release ends the target's grant of the holding h, which is closing or is to close,
+// and returns the handover for the next owner. The handover is empty if the grant had
+// to expire. ok is false if the daemon stopped first.
 func (m *Mesh) release(ctx context.Context, h *holding) (handover string, ok bool) {
 	m.mu.Lock()
-	idle := !h.granted && boottime.Now().After(h.mayHoldUntil)
+	idle := !h.granted && boottime.Now().After(h.grant.MayHoldUntil)
+	d := m.delivery
 	m.mu.Unlock()
 	if idle {
 		return "", true
 	}
-	handover, err := m.targetClient.Release(ctx, h.Assignment)
-	if err != nil && ctx.Err() == nil {
-		handover, err = m.targetClient.Release(ctx, h.Assignment)
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if err != nil {
-		m.log.Warn("target did not release keys", "first", h.First, "last", h.Last, "fence", h.Fence, "error", err)
-		return "", m.waitUntil(h.mayHoldUntil)
+	switch d := d.(type) {
+	case callDelivery:
+		return m.releaseByCall(ctx, h)
+	case *heartbeatDelivery:
+		return m.awaitRelease(d, h)
+	default:
+		panic("unknown delivery of grants")
 	}
-	h.granted = false
-	// A grant that got no response may be applied after the release.
-	return handover, m.waitUntil(h.unansweredUntil)
 }
 
 // waitUntil waits until the clock reaches until, and reports false if the
--- a/io/mesh/grants_test.go
+++ b/io/mesh/grants_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
@@ -36,6 +37,7 @@
 		reports:      map[netip.AddrPort]loadReport{},
 
 		scheduler: scheduling.New(1),
+		delivery:  callDelivery{},
 	}
 	entries := []directory.Entry{directory.Member{Address: self, Service: "s", State: directory.Active}.PutEntry()}
 	for _, a := range assignments {
@@ -105,3 +107,22 @@
 	}
 	return list
 }
+
+// TestRestartedDaemonWaitsForFormerGrants guards against a daemon that has just
+// started and transfers a range at once, as it does when it is told to stop: the
+// target may still hold the range under a grant of the former process.
+func TestRestartedDaemonWaitsForFormerGrants(t *testing.T) {
+	m := newTestMesh(directory.Assignment{First: 0, Last: 99, Fence: 1})
+	m.startedAt = time.Unix(1000, 0)
+	m.holdings = nil
+	m.syncHoldings(m.startedAt.Add(100 * time.Millisecond))
+	m.target = localTarget{}
+	m.log = hclog.NewNullLogger()
+	m.TargetHeartbeat(m.startedAt.Add(200*time.Millisecond), TargetState{Instance: "i", Born: 1, Slots: 1, Ready: true})
+	require.Len(t, m.holdings, 1)
+	until := m.holdings[0].grant.MayHoldUntil
+	require.False(t, until.Before(m.startedAt.Add(tenure.MinLease)), "the target may hold the range until %v", until)
+
+	m.TargetHeartbeat(m.startedAt.Add(300*time.Millisecond), TargetState{Instance: "j", Born: 2, Slots: 1, Ready: true})
+	require.Zero(t, m.holdings[0].grant.MayHoldUntil, "a new process of the target holds nothing")
+}
--- a/io/mesh/maintenance.go
+++ b/io/mesh/maintenance.go
@@ -160,7 +160,20 @@
 		slices.Sort(others)
 		current = max(current, others[(len(others)-1)/2])
 	}
-	return tenure.ChooseLease(current, &m.serviceTimes, renewInterval)
+	return tenure.ChooseLease(current, &m.serviceTimes, m.grantInterval())
+}
+
+// grantInterval returns the time between two grants of the same keys to the target.
+// The caller holds the mutex.
+func (m *Mesh) grantInterval() time.Duration {
+	switch m.delivery.(type) {
+	case callDelivery:
+		return renewInterval
+	case *heartbeatDelivery:
+		return m.cfg.HeartbeatInterval
+	default:
+		panic("unknown delivery of grants")
+	}
 }
 
 // guardianWriteDelay returns how long this member waits for the members before
@@ -224,7 +237,7 @@
 		Born:     m.target.Born,
 		State:    directory.Active,
 	}
-	if m.divided() {
+	if _, byHeartbeat := m.delivery.(*heartbeatDelivery); byHeartbeat || m.divided() {
 		want.Lease = m.chooseLease(dir)
 	}
 	have := dir.Member(m.cfg.Self)
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -16,8 +16,9 @@
 //	             (heartbeat.go)
 //	failover     fences unresponsive members and reassigns their keys
 //	             (failover.go)
-//	grants       keeps the target's grants current (grants.go) and transfers
-//	             ranges to other owners (move.go)
+//	grants       keeps the target's grants current (grants.go; delivery.go for
+//	             targets that take grants from heartbeats) and transfers ranges to
+//	             other owners (move.go)
 //	planner      balances the load while this member is the planner (plan.go)
 //	usage log    logs the process's resource usage and activity (usage.go)
 //
@@ -35,7 +36,8 @@
 //
 //	m := mesh.New(cfg, mesh.Deps{Store: store, Target: target, ...})
 //	m.Configure(table, document)
-//	m.TargetHeartbeat(mesh.TargetState{Instance: id, Born: born, Ready: true})
+//	answer := m.TargetHeartbeat(now, mesh.TargetState{Instance: id, Born: born, Ready: true})
+//	m.HeartbeatAnswered(answer) // once the answer has been written
 //	result := m.Serve(ctx, request, sink)
 //	m.Leave(ctx)
 package mesh
@@ -53,6 +55,7 @@
 
 	"siskinknot/core/balance"
 	"siskinknot/core/directory"
+	"siskinknot/core/grantsync"
 	"siskinknot/core/outcome"
 	"siskinknot/core/placement"
 	"siskinknot/core/request"
@@ -77,6 +80,8 @@
 	// DrainTime is how long a target that has announced its shutdown still
 	// accepts requests.
 	DrainTime time.Duration
+	// HeartbeatInterval is the time between two heartbeats of the target.
+	HeartbeatInterval time.Duration
 	// RetryRatio and RetryBurst are the retry budget of the fleet: the retries
 	// allowed as a fraction of the requests, and the maximum number of unused
 	// retries that are saved.
@@ -132,6 +137,9 @@
 	Ready bool
 	// ColdFor is how much longer the target is slow after its start.
 	ColdFor time.Duration
+	// Grants lists the ranges that the target holds and has released, if the target
+	// takes its grants from the answers to heartbeats; nil if it takes grant calls.
+	Grants *grantsync.Report
 }
 
 // peerHeartbeat describes the latest heartbeat received from another daemon.
@@ -174,6 +182,8 @@
 	scheduler *scheduling.Scheduler
 	// decodeConfig decodes the operator's configuration document.
 	decodeConfig func([]byte) (*routing.Table, error)
+	// startedAt is when this process started.
+	startedAt time.Time
 	// commitMu is held while a change of the directory is being committed, and
 	// snapshotMu while the whole directory is being encoded for another daemon.
 	commitMu, snapshotMu sync.Mutex
@@ -202,6 +212,7 @@
 	leaving  bool
 	draining bool
 	target   localTarget
+	delivery delivery
 	holdings []*holding
 	// keyLoad is the load of the keys of this member, and demand that of all
 	// requests for its target.
@@ -256,7 +267,9 @@
 		reports:            map[netip.AddrPort]loadReport{},
 		receivedHeartbeats: map[netip.AddrPort]peerHeartbeat{},
 		storeOK:            true,
+		delivery:           callDelivery{},
 
+		startedAt:    now,
 		decodeConfig: deps.DecodeConfig,
 	}
 	m.budget.SetBurst(m.retryBurst())
@@ -334,21 +347,25 @@
 	}
 }
 
-// TargetHeartbeat records the state that the target reports. It ignores the state
-// of a process that started before the current one.
-func (m *Mesh) TargetHeartbeat(state TargetState) {
-	now := boottime.Now()
+// TargetHeartbeat records the state that the target reports in a heartbeat that
+// arrived at now, and returns the ranges to list in the answer; nil if the answer lists
+// none. Call HeartbeatAnswered when the answer has been written. TargetHeartbeat
+// ignores the state of a process that started before the current one.
+func (m *Mesh) TargetHeartbeat(now time.Time, state TargetState) *HeartbeatAnswer {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	t := &m.target
 	if state.Born < t.Born {
-		return
+		return nil
 	}
 	restarted := t.Instance != state.Instance || t.Born != state.Born
 	if restarted {
 		m.log.Info("target started", "instance", state.Instance, "born_ms", state.Born, "former", t.Instance)
+		if t.Instance != "" {
+			m.dropGrants() // the former process held them
+		}
 		*t = localTarget{}
-		m.dropGrants()
+		m.delivery = callDelivery{}
 	}
 	if t.down {
 		m.log.Info("target answers again", "instance", state.Instance)
@@ -361,7 +378,12 @@
 	t.heardAt, t.down = now, false
 	t.coldUntil = now.Add(state.ColdFor)
 	m.scheduler.SetSlots(now, state.Slots)
+	if _, byHeartbeat := m.delivery.(*heartbeatDelivery); byHeartbeat && !t.leavingSince.IsZero() && !m.leaving {
+		m.evacuate() // so that this answer already releases the keys
+	}
+	answer := m.answerHeartbeat(now, state.Grants)
 	m.notify()
+	return answer
 }
 
 // TargetExiting records that the target's process instance has announced that it
--- a/io/mesh/metrics.go
+++ b/io/mesh/metrics.go
@@ -21,6 +21,9 @@
 	// changes, and told the changes sent to other members.
 	applied, applyTime, gaps, fetched, told *counter
 	heartbeats                              *counter
+	// offersDropped counts the ranges that did not fit into the answer to a heartbeat
+	// of the target.
+	offersDropped *counter
 	// requests counts the requests that finished at this ingress daemon, and
 	// lateOrFailed those of them that were not answered or were answered late.
 	requests, lateOrFailed *counter
@@ -45,13 +48,15 @@
 		fetched:      newCounter(scope, "directory_fetches"),
 		told:         newCounter(scope, "directory_changes_told"),
 		heartbeats:   newCounter(scope, "heartbeats_sent"),
-		requests:     newCounter(scope, "requests_ended"),
-		lateOrFailed: newCounter(scope, "requests_late_or_failed"),
-		latency:      scope.Histogram("request_time", buckets),
-		timerLag:     lagRecorder{histogram: scope.Histogram("timer_lag", buckets)},
-		goroutines:   scope.Gauge("goroutines"),
-		ranges:       scope.Gauge("directory_ranges"),
-		sessions:     scope.Gauge("sessions_open"),
+
+		offersDropped: newCounter(scope, "grant_offers_dropped"),
+		requests:      newCounter(scope, "requests_ended"),
+		lateOrFailed:  newCounter(scope, "requests_late_or_failed"),
+		latency:       scope.Histogram("request_time", buckets),
+		timerLag:      lagRecorder{histogram: scope.Histogram("timer_lag", buckets)},
+		goroutines:    scope.Gauge("goroutines"),
+		ranges:        scope.Gauge("directory_ranges"),
+		sessions:      scope.Gauge("sessions_open"),
 	}
 }
 
--- a/io/mesh/move.go
+++ b/io/mesh/move.go
@@ -57,7 +57,7 @@
 	var movable []*holding
 	var ranges []placement.KeyRange
 	for _, h := range m.holdings {
-		if !h.closing && !h.grantInFlight && h.granted && now.Sub(h.ownedSince) >= placement.MinMoveInterval {
+		if !h.closeRequested && !h.grantInFlight && h.granted && now.Sub(h.ownedSince) >= placement.MinMoveInterval {
 			movable = append(movable, h)
 			ranges = append(ranges, placement.KeyRange{First: h.First, Last: h.Last})
 		}
@@ -71,10 +71,12 @@
 
 // splitAndClose splits the holding h, which has no grant call in progress, so
 // that the keys from first to last form a holding of their own, and closes that
-// holding. The caller holds the mutex.
+// holding: at once, or with the next answer to a heartbeat of the target if that is
+// what releases them. The caller holds the mutex.
 func (m *Mesh) splitAndClose(h *holding, first, last uint16) *holding {
 	part := *h
-	part.First, part.Last, part.closing = first, last, true
+	_, byCall := m.delivery.(callDelivery)
+	part.First, part.Last, part.closeRequested, part.closing = first, last, true, byCall
 	list := slices.DeleteFunc(slices.Clone(m.holdings), func(other *holding) bool { return other == h })
 	if h.First < first {
 		before := *h
@@ -229,7 +231,7 @@
 func (m *Mesh) reopen(h *holding) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	h.closing, h.granted = false, false
+	h.closeRequested, h.closing, h.granted = false, false, false
 	m.notify()
 }
 
@@ -284,7 +286,7 @@
 	var parts []*holding
 	var owners []netip.AddrPort
 	for i, h := range slices.Clone(m.holdings) {
-		if h.closing {
+		if h.closeRequested {
 			continue
 		}
 		receivers := rotate(candidates, i*partsPerHolding)[:partsPerHolding]
--- a/standin/keyserver/keyserver.go
+++ b/standin/keyserver/keyserver.go
@@ -49,6 +49,9 @@
 	Queue int
 	// Divided makes the server run a request only while it holds the request's key.
 	Divided bool
+	// GrantsInHeartbeats makes the server take its grants from the answers to its
+	// heartbeats, and no grant calls.
+	GrantsInHeartbeats bool
 	// MeanServiceTime is the mean service time of a request.
 	MeanServiceTime time.Duration
 	// HeartbeatInterval is the interval between heartbeats.
@@ -64,6 +67,8 @@
 	LoseAnswers, ExtraAnswers float64
 	// LoseGrants is the share of grants that take effect but are not answered.
 	LoseGrants float64
+	// LoseHeartbeatAnswers is the share of answers to heartbeats that are lost.
+	LoseHeartbeatAnswers float64
 	// Slow is the factor by which the service times are multiplied.
 	Slow float64
 }
@@ -97,6 +102,11 @@
 	draining  bool
 	sequence  int
 	fault     Fault
+	// releasing holds the ranges that are being released while requests for them
+	// run, and freed those whose release was not acknowledged yet. Both are used only
+	// if the server takes its grants from answers to heartbeats.
+	releasing []grant
+	freed     []freed
 }
 
 // keysPerBlock is the number of consecutive keys that share an entry in
@@ -148,7 +158,7 @@
 	_ = s.server.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.grants = nil
+	s.grants, s.releasing, s.freed = nil, nil, nil
 	s.cfg.History.recordProcessEnd(s.id, time.Now())
 }
 
@@ -188,6 +198,7 @@
 // until ctx is cancelled.
 func (s *Server) sendHeartbeats(ctx context.Context) {
 	for ctx.Err() == nil {
+		interval := s.cfg.HeartbeatInterval
 		s.mu.Lock()
 		s.sequence++
 		state := "ready"
@@ -195,19 +206,23 @@
 			state = "draining"
 		}
 		body := fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":%q,"version":"v1","zone":"z","slots":%d},`+
-			`"status":{"state":%q,"sequence":%d,"cold_left_ms":0}}`,
-			s.cfg.Address, s.startedAtMs, s.cfg.Service, s.cfg.Slots, state, s.sequence)
+			`"status":{"state":%q,"sequence":%d,"cold_left_ms":0}%s}`,
+			s.cfg.Address, s.startedAtMs, s.cfg.Service, s.cfg.Slots, state, s.sequence, s.grantLists())
 		s.mu.Unlock()
+		sentAt := time.Now()
 		url := fmt.Sprintf("http://%s/siskinknot/instances/%s", s.cfg.Daemon, s.id)
 		req, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader([]byte(body)))
 		if err == nil {
 			if resp, err := http.DefaultClient.Do(req); err == nil {
+				if s.cfg.GrantsInHeartbeats && s.applyAnswer(sentAt, resp) {
+					interval = releaseHeartbeatInterval
+				}
 				_ = resp.Body.Close()
 			}
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(s.cfg.HeartbeatInterval):
+		case <-time.After(interval):
 		}
 	}
 }
@@ -217,20 +232,15 @@
 func (s *Server) grant(w http.ResponseWriter, r *http.Request) {
 	arrivedAt := time.Now()
 	var g grant
-	if json.NewDecoder(r.Body).Decode(&g) != nil || g.First > g.Last {
+	if s.cfg.GrantsInHeartbeats || json.NewDecoder(r.Body).Decode(&g) != nil || g.First > g.Last {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for block := g.First / keysPerBlock; block <= g.Last/keysPerBlock; block++ {
-		if s.maxFences[block] > g.Fence {
-			w.WriteHeader(http.StatusConflict)
-			return
-		}
-	}
-	for block := g.First / keysPerBlock; block <= g.Last/keysPerBlock; block++ {
-		s.maxFences[block] = g.Fence
+	if !s.raiseFences(g) {
+		w.WriteHeader(http.StatusConflict)
+		return
 	}
 	g.expiresAt = arrivedAt.Add(time.Duration(g.HoldMs) * time.Millisecond)
 	s.removeKeys(g.First, g.Last)
@@ -241,25 +251,27 @@
 	}
 }
 
+// raiseFences records the fence of g for its keys. It reports false, and records
+// nothing, if a higher fence was seen for any of their blocks. The caller holds the
+// mutex.
+func (s *Server) raiseFences(g grant) bool {
+	for block := g.First / keysPerBlock; block <= g.Last/keysPerBlock; block++ {
+		if s.maxFences[block] > g.Fence {
+			return false
+		}
+	}
+	for block := g.First / keysPerBlock; block <= g.Last/keysPerBlock; block++ {
+		s.maxFences[block] = g.Fence
+	}
+	return true
+}
+
 // removeKeys removes the keys first to last from the grants that the server
 // holds. The caller holds the mutex.
 func (s *Server) removeKeys(first, last uint16) {
 	var rest []grant
 	for _, g := range s.grants {
-		if g.Last < first || last < g.First {
-			rest = append(rest, g)
-			continue
-		}
-		if g.First < first {
-			before := g
-			before.Last = first - 1
-			rest = append(rest, before)
-		}
-		if g.Last > last {
-			after := g
-			after.First = last + 1
-			rest = append(rest, after)
-		}
+		rest = append(rest, subtract(g, grant{First: first, Last: last})...)
 	}
 	s.grants = rest
 }
--- a/standin/meshfleet/meshfleet.go
+++ b/standin/meshfleet/meshfleet.go
@@ -53,6 +53,9 @@
 	// Registry and Archive are the numbers of servers of the two services. The keys
 	// of the service registry are divided among its servers.
 	Registry, Archive int
+	// GrantsInHeartbeats makes the servers of the service registry take their grants
+	// from the answers to their heartbeats.
+	GrantsInHeartbeats bool
 	// MeanServiceTime is the mean service time of a request at a server.
 	MeanServiceTime time.Duration
 	// Logs receives the daemons' log lines; nil discards them.
@@ -227,7 +230,7 @@
 		"server": "vm-" + strconv.Itoa(vm.number), "service": vm.Service, "availability_zone": fmt.Sprintf("zone-%c", 'a'+vm.number%3),
 		"daemon_address": addressAt(p.daemon), "caller_address": addressAt(p.caller), "ready_address": addressAt(p.ready),
 		"heartbeat_address": addressAt(p.heartbeat), "metrics_address": addressAt(p.metrics), "target_address": addressAt(p.app),
-		"store_address": vm.fleet.storeAddr.String(), "retry_extra": 50, "shutdown_limit_s": 6,
+		"store_address": vm.fleet.storeAddr.String(), "retry_extra": 50, "shutdown_limit_s": 6, "heartbeat_interval_ms": 300,
 	})
 	if err != nil {
 		return err
@@ -244,15 +247,17 @@
 func (vm *VM) StartServer() error {
 	p := vm.fleet.ports
 	server, err := keyserver.New(keyserver.Config{
-		Address:           netip.AddrPortFrom(vm.ip, p.app),
-		Daemon:            netip.AddrPortFrom(vm.ip, p.heartbeat),
-		Service:           vm.Service,
-		Slots:             8,
-		Queue:             16,
-		Divided:           vm.Service == Registry,
-		MeanServiceTime:   vm.fleet.opts.MeanServiceTime,
-		HeartbeatInterval: 300 * time.Millisecond,
-		History:           vm.fleet.History,
+		Address: netip.AddrPortFrom(vm.ip, p.app),
+		Daemon:  netip.AddrPortFrom(vm.ip, p.heartbeat),
+		Service: vm.Service,
+		Slots:   8,
+		Queue:   16,
+		Divided: vm.Service == Registry,
+
+		GrantsInHeartbeats: vm.Service == Registry && vm.fleet.opts.GrantsInHeartbeats,
+		MeanServiceTime:    vm.fleet.opts.MeanServiceTime,
+		HeartbeatInterval:  300 * time.Millisecond,
+		History:            vm.fleet.History,
 	})
 	vm.Server = server
 	return err
--- a/test/mesh/mesh_test.go
+++ b/test/mesh/mesh_test.go
@@ -107,6 +107,13 @@
 // service time of a request at a server. When the test ends, finish stops and
 // checks the fleet.
 func startWithServiceTime(t *testing.T, registry, archive int, serviceTime time.Duration) *fleet {
+	t.Helper()
+	return startWithOptions(t, meshfleet.Options{Registry: registry, Archive: archive, MeanServiceTime: serviceTime})
+}
+
+// startWithOptions starts a fleet like start does, with the given options. It sets the
+// program, the seed and the logs.
+func startWithOptions(t *testing.T, opts meshfleet.Options) *fleet {
 	t.Helper()
 	logs, err := os.CreateTemp("", "siskinknot-mesh-*.log")
 	if err != nil {
@@ -114,9 +121,8 @@
 	}
 	f := &fleet{t: t, logs: logs}
 	f.ctx, f.stop = context.WithTimeout(context.Background(), 3*waitTimeout)
-	f.Fleet, err = meshfleet.Start(meshfleet.Options{
-		Bin: binDir, Seed: seed, Registry: registry, Archive: archive, MeanServiceTime: serviceTime, Logs: logs,
-	})
+	opts.Bin, opts.Seed, opts.Logs = binDir, seed, logs
+	f.Fleet, err = meshfleet.Start(opts)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -321,6 +327,43 @@
 	}
 }
 
+// TestGrantsInHeartbeats runs servers that take their grants from the answers to their
+// heartbeats, and checks that keys are served while answers are lost, that they move
+// when a daemon or a server leaves, and that they come back after a daemon was killed.
+// finish checks that no key is ever held by two servers.
+func TestGrantsInHeartbeats(t *testing.T) {
+	t.Parallel()
+	f := startWithOptions(t, meshfleet.Options{Registry: 4, Archive: 1, MeanServiceTime: 10 * time.Millisecond, GrantsInHeartbeats: true})
+	// Callers beside a daemon that stops are not served by it.
+	f.load(f.VMs[0], f.VMs[2], f.VMs[4])
+	served := func(what string, minShare float64, action func()) {
+		t.Helper()
+		began := time.Now()
+		action()
+		time.Sleep(2500 * time.Millisecond)
+		if share := f.servedSince(began); share < minShare {
+			t.Errorf("%s: %.4f of the requests were served, want at least %v", what, share, minShare)
+		}
+	}
+	served("no faults", 0.99, func() {})
+	served("lost answers", 0.98, func() {
+		for _, vm := range f.VMs {
+			vm.Server.SetFault(keyserver.Fault{Slow: 1, LoseHeartbeatAnswers: 0.3})
+		}
+	})
+	served("daemon stops", 0.98, func() { f.VMs[3].Signal(syscall.SIGTERM) })
+	f.VMs[3].Wait()
+	if err := f.VMs[3].StartDaemon(); err != nil {
+		t.Fatal(err)
+	}
+	served("server drains", 0.98, f.VMs[2].Server.Drain)
+	f.VMs[1].Kill()
+	// A lease lasts two heartbeats and a renewal more than that of other servers.
+	if elapsed := f.waitAllKeysServed(f.VMs[0]); elapsed > 3*time.Second {
+		t.Errorf("all keys are served after %v, want at most 3s", elapsed)
+	}
+}
+
 // TestStoreFaults makes the store unavailable, slow or lossy, for all daemons
 // or some, and checks that requests are still served meanwhile, and all keys
 // afterwards, when the store has dropped its history of changes.
