Run pipelined requests that may be repeated beside one another

Cause: net/http runs the requests of a connection one after the other.

Change: io/pipeline wraps the listener and the handler of the callers' server. A request of a safe route that stands behind others is started at once, up to eight a connection (pipeline_depth); net/http still reads each one and writes the answers in their order. A disconnect is noticed also while requests wait.

--- a/cmd/siskinknot/mesh.go
+++ b/cmd/siskinknot/mesh.go
@@ -167,11 +167,12 @@
 
 // serve starts the HTTP servers of the configured interfaces.
 func (n *node) serve(ctx context.Context) error {
+	ingress := platform.IngressHandler(n.mesh, n.cfg.Service, n.cfg.PipelineDepth, n.log.Named("caller"))
 	interfaces := []struct {
 		addr    netip.AddrPort
 		handler http.Handler
 	}{
-		{n.cfg.CallerAddress, platform.IngressHandler(n.mesh, n.cfg.Service, n.log.Named("caller"))},
+		{n.cfg.CallerAddress, ingress},
 		{n.cfg.ReadyAddress, platform.ReadinessHandler(n.mesh)},
 		{n.cfg.HeartbeatAddress, platform.HeartbeatHandler(n.mesh, n.cfg.TargetAddress, n.cfg.Service, n.log.Named("target"))},
 		{n.cfg.MetricsAddress, n.telemetry.Metrics},
@@ -189,8 +190,12 @@
 			Handler:           i.handler,
 			ReadHeaderTimeout: headerTimeout,
 			ConnState:         n.idleCloser.ConnState,
+			ConnContext:       ingress.ConnContext,
 			ErrorLog:          n.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 		}
+		if i.addr == n.cfg.CallerAddress {
+			listener = ingress.Listener(listener)
+		}
 		n.servers = append(n.servers, server)
 		go func() {
 			if err := server.Serve(listener); err != nil && !eris.Is(err, http.ErrServerClosed) {
--- a/io/config/mesh.go
+++ b/io/config/mesh.go
@@ -37,6 +37,9 @@
 	Drain    record.Millis `json:"drain_ms"`
 	// HeartbeatInterval is the time between two heartbeats of the target.
 	HeartbeatInterval record.Millis `json:"heartbeat_interval_ms"`
+	// PipelineDepth is the maximum number of pipelined requests of a connection that
+	// run beside the one in front.
+	PipelineDepth int `json:"pipeline_depth"`
 	// ShutdownLimitS is the maximum duration of a shutdown of the daemon, in
 	// seconds.
 	ShutdownLimitS float64 `json:"shutdown_limit_s"`
@@ -57,6 +60,7 @@
 	MaxGrant:             10_000 * millisecond,
 	Drain:                2_000 * millisecond,
 	HeartbeatInterval:    1_000 * millisecond,
+	PipelineDepth:        8,
 	ShutdownLimitS:       6,
 	RetryRatio:           0.2,
 	RetryBurst:           20,
