--- a/io/config/mesh_test.go
+++ b/io/config/mesh_test.go
@@ -25,6 +25,8 @@
 		{"invalid IP address", "10.0.0.1:8080", "10.0.0.300:8080", "/target_address"},
 		{"string instead of a number", "9000", `"long"`, "max_grant_ms"},
 		{"duration below the minimum", "9000", "100", "max_grant_ms"},
+		{"heartbeat interval below the minimum", `"max_grant_ms":9000`, `"heartbeat_interval_ms":9`, "heartbeat_interval_ms"},
+		{"pipeline depth negative", `"max_grant_ms":9000`, `"pipeline_depth":-1`, "pipeline_depth"},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			_, err := ParseMesh([]byte(strings.Replace(meshConfigJSON, row.old, row.new, 1)))
--- a/io/mesh/admission.go
+++ b/io/mesh/admission.go
@@ -230,7 +230,9 @@
 
 // sendToTarget sends a request that holds a slot to the target, if the target
 // still holds the request's key.
-func (m *Mesh) sendToTarget(ctx context.Context, head *request.Head, ex forward.Exchange, key uint16, divided bool, times *requestTimes) (outcome.Result, scheduling.SlotUse) {
+func (m *Mesh) sendToTarget(
+	ctx context.Context, head *request.Head, ex forward.Exchange, key uint16, divided bool, times *requestTimes,
+) (outcome.Result, scheduling.SlotUse) {
 	now := boottime.Now()
 	m.mu.Lock()
 	refusal := m.leavingRefusal(now, divided)
--- a/io/pipeline/pipeline_test.go
+++ b/io/pipeline/pipeline_test.go
@@ -48,6 +48,18 @@
 	return c
 }
 
+// readBody reads the next response of a connection and returns its body.
+func readBody(t *testing.T, answers *bufio.Reader) string {
+	t.Helper()
+	resp, err := http.ReadResponse(answers, nil)
+	require.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	return string(body)
+}
+
 // TestConcurrentInOrder checks that pipelined requests run at the same time and are
 // answered in their order, whether they arrive together or later. With net/http alone
 // the first request never ends, since it waits for the last one to begin.
@@ -75,11 +87,7 @@
 			}
 			answers := bufio.NewReader(c)
 			for i := range 3 {
-				resp, err := http.ReadResponse(answers, nil)
-				require.NoError(t, err)
-				body, err := io.ReadAll(resp.Body)
-				require.NoError(t, err)
-				require.Equal(t, fmt.Sprintf("/%d", i), string(body))
+				require.Equal(t, fmt.Sprintf("/%d", i), readBody(t, answers))
 			}
 		})
 	}
@@ -142,9 +150,7 @@
 			c := dial(t, addr)
 			_, err := io.WriteString(c, row.requests)
 			require.NoError(t, err)
-			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
-			require.NoError(t, err)
-			require.Equal(t, http.StatusOK, resp.StatusCode)
+			readBody(t, bufio.NewReader(c))
 			time.Sleep(100 * time.Millisecond)
 			mu.Lock()
 			defer mu.Unlock()
@@ -203,11 +209,7 @@
 	require.NoError(t, err)
 	answers := bufio.NewReader(c)
 	for _, letter := range []string{"a", "b", "c"} {
-		resp, err := http.ReadResponse(answers, nil)
-		require.NoError(t, err)
-		body, err := io.ReadAll(resp.Body)
-		require.NoError(t, err)
-		require.Equal(t, strings.Repeat(letter, size), string(body))
+		require.Equal(t, strings.Repeat(letter, size), readBody(t, answers))
 	}
 }
 
--- a/standin/keyserver/heartbeatgrants.go
+++ b/standin/keyserver/heartbeatgrants.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 )
@@ -33,20 +34,20 @@
 		return ""
 	}
 	now := time.Now()
-	s.grants = slicesKeep(s.grants, func(g grant) bool { return now.Before(g.expiresAt) })
+	s.grants = slices.DeleteFunc(s.grants, func(g grant) bool { return !now.Before(g.expiresAt) })
 	var released []grant
-	s.releasing = slicesKeep(s.releasing, func(g grant) bool {
+	s.releasing = slices.DeleteFunc(s.releasing, func(g grant) bool {
 		if s.works(g) {
-			return true
+			return false
 		}
 		released = append(released, g)
-		return false
+		return true
 	})
 	for _, g := range released {
 		s.freed = append(s.freed, freed{g.First, g.Last, fmt.Sprintf("h-%08x", rand.Uint32())})
 	}
 	var holds, freedRows []string
-	for _, g := range append(s.grants, s.releasing...) {
+	for _, g := range slices.Concat(s.grants, s.releasing) {
 		holds = append(holds, fmt.Sprintf("[%d,%d,%d]", g.First, g.Last, g.Fence))
 	}
 	for _, f := range s.freed {
@@ -55,17 +56,6 @@
 	return fmt.Sprintf(`,"holds":[%s],"freed":[%s]`, strings.Join(holds, ","), strings.Join(freedRows, ","))
 }
 
-// slicesKeep returns the elements of list for which keep returns true, in a new slice.
-func slicesKeep(list []grant, keep func(grant) bool) []grant {
-	var kept []grant
-	for _, g := range list {
-		if keep(g) {
-			kept = append(kept, g)
-		}
-	}
-	return kept
-}
-
 // works reports whether a request for one of g's keys is running. The caller holds the
 // mutex.
 func (s *Server) works(g grant) bool {
@@ -123,11 +113,7 @@
 func (s *Server) releaseRest(former grant, now time.Time) {
 	rest := []grant{former}
 	for _, g := range s.grants {
-		var next []grant
-		for _, r := range rest {
-			next = append(next, subtract(r, g)...)
-		}
-		rest = next
+		rest = subtractFromAll(rest, g)
 	}
 	for _, r := range rest {
 		if now.Before(r.expiresAt) {
@@ -137,6 +123,15 @@
 	}
 }
 
+// subtractFromAll returns the parts of all grants in list without the keys of other.
+func subtractFromAll(list []grant, other grant) []grant {
+	parts := make([]grant, 0, len(list)+1)
+	for _, g := range list {
+		parts = append(parts, subtract(g, other)...)
+	}
+	return parts
+}
+
 // subtract returns the parts of g without the keys of other.
 func subtract(g, other grant) []grant {
 	if other.Last < g.First || g.Last < other.First {
--- a/standin/keyserver/keyserver.go
+++ b/standin/keyserver/keyserver.go
@@ -269,11 +269,7 @@
 // removeKeys removes the keys first to last from the grants that the server
 // holds. The caller holds the mutex.
 func (s *Server) removeKeys(first, last uint16) {
-	var rest []grant
-	for _, g := range s.grants {
-		rest = append(rest, subtract(g, grant{First: first, Last: last})...)
-	}
-	s.grants = rest
+	s.grants = subtractFromAll(s.grants, grant{First: first, Last: last})
 }
 
 // release handles a release request. It answers once all running requests for the
