Share what the grants' code does twice, and choose a lease only for an entry

Cause, from reading the change again: two loops of grantsync checked whether rows cover a range; the margin for a slow clock was written out four times; each heartbeat looked twice for a held range; joinEntries, which every member runs each 50 ms to see whether it has to join, chose the length of a lease before it knew that it needs an entry; the log writer's batch left its loop in two ways.

Change: grantsync.covered and LongestHold, RecordReport returns what it finds, the lease is chosen after the early return, a batch takes what the queue holds. Long comment lines are broken. No bound, check or test is changed.

--- a/core/grantsync/grantsync.go
+++ b/core/grantsync/grantsync.go
@@ -14,9 +14,9 @@
 //     granted a range therefore has no effect once the target has reported the release
 //     that a later answer asked for.
 //   - A release is complete when a heartbeat lists the range as released and no longer
-//     as held, after an earlier one listed it as held. Without such heartbeats the grants have to expire: a range that the
-//     target has never held, and one whose grant has expired, is not listed as
-//     released.
+//     as held, after an earlier one listed it as held. Without such heartbeats the
+//     grants have to expire: a range that the target has never held, and one whose
+//     grant has expired, is not listed as released.
 //   - Only the newest heartbeat is answered with ranges. An answer without ranges
 //     renews nothing and releases nothing.
 //
@@ -42,6 +42,12 @@
 	MaxAnswerBytes = 4 << 10
 )
 
+// LongestHold returns the longest time that a target can take for the duration hold on
+// its own clock.
+func LongestHold(hold time.Duration) time.Duration {
+	return time.Duration(float64(hold) * ClockRateMargin)
+}
+
 // Row is a range of keys, from First to Last, that a target holds.
 type Row struct {
 	First, Last uint16
@@ -77,12 +83,19 @@
 // Holds reports whether the target lists all keys from first to last as held with
 // the given fence.
 func (r *Report) Holds(first, last uint16, fence uint64) bool {
+	return covered(first, last, r.Held, func(row Row) (uint16, uint16, bool) { return row.First, row.Last, row.Fence == fence })
+}
+
+// covered reports whether rows, in any order, contain all keys from first to last. keys
+// returns the first and the last key of a row, and whether the row counts.
+func covered[T any](first, last uint16, rows []T, keys func(T) (first, last uint16, counts bool)) bool {
 	next := int(first)
 	for progress := true; progress && next <= int(last); {
 		progress = false
-		for _, row := range r.Held {
-			if row.Fence == fence && int(row.First) <= next && next <= int(row.Last) {
-				next, progress = int(row.Last)+1, true
+		for _, row := range rows {
+			rowFirst, rowLast, counts := keys(row)
+			if counts && int(rowFirst) <= next && next <= int(rowLast) {
+				next, progress = int(rowLast)+1, true
 			}
 		}
 	}
@@ -107,16 +120,7 @@
 	if r.MaxFence(first, last) > 0 {
 		return false
 	}
-	next := int(first)
-	for progress := true; progress && next <= int(last); {
-		progress = false
-		for _, row := range r.Freed {
-			if int(row.First) <= next && next <= int(row.Last) {
-				next, progress = int(row.Last)+1, true
-			}
-		}
-	}
-	return next > int(last)
+	return covered(first, last, r.Freed, func(row FreedRow) (uint16, uint16, bool) { return row.First, row.Last, true })
 }
 
 // Handover returns the handover of the keys from first to last, or "" if no single
@@ -156,9 +160,11 @@
 }
 
 // RecordReport records the newest report of the target; the range has the keys from
-// first to last and the given fence.
-func (g *Grant) RecordReport(report *Report, first, last uint16, fence uint64) {
-	g.listedHeld = g.listedHeld || report.Holds(first, last, fence)
+// first to last and the given fence. It reports whether the range is listed as held.
+func (g *Grant) RecordReport(report *Report, first, last uint16, fence uint64) (held bool) {
+	held = report.Holds(first, last, fence)
+	g.listedHeld = g.listedHeld || held
+	return held
 }
 
 // RecordOffer records that the answer to a heartbeat that arrived at heartbeatAt
@@ -166,7 +172,7 @@
 func (g *Grant) RecordOffer(heartbeatAt time.Time, hold time.Duration) {
 	g.OfferedAt = heartbeatAt
 	if g.disabled&ruleClockRate == 0 {
-		hold = time.Duration(float64(hold) * ClockRateMargin)
+		hold = LongestHold(hold)
 	}
 	if until := heartbeatAt.Add(hold); until.After(g.MayHoldUntil) || g.disabled&ruleAllOffers != 0 {
 		g.MayHoldUntil = until
--- a/core/tenure/tenure.go
+++ b/core/tenure/tenure.go
@@ -8,10 +8,10 @@
 // has five rules; the function that enforces a rule is given in parentheses:
 //
 //   - Holding (LeaseTable.HeldUntil). The lease lasts for the length in the member's
-//     entry (LeaseOf), counted from the moment the member sent a renewal request that a guardian granted, or sent a
-//     read of the store that did not show the member as fenced. A lease never
-//     starts before the member's process has read the store, and never lasts
-//     longer than BlindLimit after the last read.
+//     entry (LeaseOf), counted from the moment the member sent a renewal request
+//     that a guardian granted, or sent a read of the store that did not show the
+//     member as fenced. A lease never starts before the member's process has read
+//     the store, and never lasts longer than BlindLimit after the last read.
 //   - Renewing (LeaseTable.MayRenew). A guardian grants a renewal only while its
 //     own lease is valid and its directory shows the member as active and
 //     itself as one of the member's guardians.
@@ -23,8 +23,8 @@
 //     The keys are free once every guardian has confirmed that it has applied
 //     that change and the length of the member's lease has passed since. A
 //     guardian that is itself fenced counts as having confirmed when its own
-//     lease has certainly expired. A
-//     guardian whose process has ended counts as having confirmed at that time.
+//     lease has certainly expired. A guardian whose process has ended counts as
+//     having confirmed at that time.
 //     Without the confirmations, the keys are free BlindLimit after the fence.
 //   - Returning. A fenced member that is still running may set its state to
 //     Active again. If that transaction succeeds, no other member has taken over
--- a/io/logwriter/logwriter.go
+++ b/io/logwriter/logwriter.go
@@ -141,22 +141,18 @@
 }
 
 // writeBatch writes first, which may be nil, and queued lines in one call, and
-// reports whether lines may be left in the queue.
+// reports whether lines are left in the queue.
 func (w *Writer) writeBatch(first []byte) bool {
-	batch, lines := first, min(len(first), 1)
-	for ; lines < maxBatchLines; lines++ {
-		select {
-		case line := <-w.queue:
-			batch = append(batch, line...)
-			continue
-		default:
-		}
-		break
+	batch := first
+	// Only this goroutine takes lines from the queue, so that it does not wait here.
+	lines := min(len(w.queue), maxBatchLines-min(len(first), 1))
+	for range lines {
+		batch = append(batch, <-w.queue...)
 	}
 	if len(batch) > 0 {
 		_, _ = w.out.Write(batch)
 	}
-	return lines == maxBatchLines
+	return len(w.queue) > 0
 }
 
 // Close writes the queued lines and stops the background goroutine. It waits for at
--- a/io/mesh/delivery.go
+++ b/io/mesh/delivery.go
@@ -83,7 +83,7 @@
 // applyReport updates the state of h to a report that arrived at now. The caller
 // holds the mutex.
 func (m *Mesh) applyReport(now time.Time, report *grantsync.Report, h *holding) {
-	h.grant.RecordReport(report, h.First, h.Last, h.Fence)
+	held := h.grant.RecordReport(report, h.First, h.Last, h.Fence)
 	if h.closeRequested && !h.closing {
 		// The answer to this heartbeat is the first without the range, so that
 		// requests were served until now.
@@ -92,7 +92,7 @@
 	}
 	switch {
 	case h.closing:
-	case report.Holds(h.First, h.Last, h.Fence):
+	case held:
 		h.unlisted = 0
 	default:
 		if h.granted {
--- a/io/mesh/grants.go
+++ b/io/mesh/grants.go
@@ -103,7 +103,7 @@
 	if me == nil {
 		return time.Time{}
 	}
-	end := m.startedAt.Add(time.Duration(float64(tenure.LeaseOf(me)) * grantsync.ClockRateMargin))
+	end := m.startedAt.Add(grantsync.LongestHold(tenure.LeaseOf(me)))
 	if now.After(end) {
 		return time.Time{}
 	}
@@ -212,7 +212,7 @@
 		m.mu.Unlock()
 		return
 	}
-	if until := sentAt.Add(grantTimeout + time.Duration(float64(hold)*grantsync.ClockRateMargin)); until.After(h.grant.MayHoldUntil) {
+	if until := sentAt.Add(grantTimeout + grantsync.LongestHold(hold)); until.After(h.grant.MayHoldUntil) {
 		h.grant.MayHoldUntil = until
 	}
 	m.mu.Unlock()
@@ -225,7 +225,7 @@
 		newlyGranted := !h.granted
 		h.granted, h.grantedFor = true, hold
 		h.grantedUntil = sentAt.Add(hold)
-		h.grant.MayHoldUntil = now.Add(time.Duration(float64(hold) * grantsync.ClockRateMargin))
+		h.grant.MayHoldUntil = now.Add(grantsync.LongestHold(hold))
 		if newlyGranted {
 			m.log.Info("keys granted", "first", a.First, "last", a.Last, "fence", a.Fence, "warm", a.Handover != "")
 			m.notify()
--- a/io/mesh/maintenance.go
+++ b/io/mesh/maintenance.go
@@ -237,12 +237,9 @@
 		Born:     m.target.Born,
 		State:    directory.Active,
 	}
-	if _, byHeartbeat := m.delivery.(*heartbeatDelivery); byHeartbeat || m.divided() {
-		want.Lease = m.chooseLease(dir)
-	}
 	have := dir.Member(m.cfg.Self)
 	if have != nil {
-		want.Guardians, want.Lease = have.Guardians, max(want.Lease, have.Lease)
+		want.Guardians, want.Lease = have.Guardians, have.Lease
 		if want.Instance == "" {
 			want.Instance, want.Born = have.Instance, have.Born
 		}
@@ -250,6 +247,9 @@
 			return nil
 		}
 	}
+	if _, byHeartbeat := m.delivery.(*heartbeatDelivery); byHeartbeat || m.divided() {
+		want.Lease = max(want.Lease, m.chooseLease(dir))
+	}
 	entries := []directory.Entry{want.PutEntry()}
 	if have != nil && have.Instance == want.Instance && have.Born == want.Born && have.Service == want.Service {
 		return entries
