Log and count the requests that a target was running when it ended

A daemon now keeps the requests that its target is running. If a connection is cut, it tries to connect; if that is refused, or if a heartbeat of a new process arrives first, it logs what the former process was running, each with a fingerprint of its content, and counts the crash. The first 16 KiB of a body are read before the request is sent, so that the fingerprint is known then; a request's refusals are checked again afterwards.

--- a/io/mesh/admission.go
+++ b/io/mesh/admission.go
@@ -234,46 +234,79 @@
 func (m *Mesh) sendToTarget(
 	ctx context.Context, head *request.Head, ex forward.Exchange, key uint16, divided bool, times *requestTimes,
 ) (outcome.Result, scheduling.SlotUse) {
-	now := boottime.Now()
-	m.mu.Lock()
-	refusal := m.leavingRefusal(now, divided)
-	if divided && refusal == nil {
-		refusal = m.ownershipRefusal(now, key)
-	}
-	if divided && refusal == nil {
-		times.grantedUntil, times.targetWarm = m.holdingOf(key).grantedUntil, !now.Before(m.target.coldUntil)
-	}
-	instance := m.target.Instance
-	m.mu.Unlock()
-	switch {
-	case refusal != nil:
+	if refusal := m.sendRefusal(boottime.Now(), head, key, divided); refusal != nil {
 		return refusal, scheduling.Unused
-	case !now.Before(head.Deadline):
-		return outcome.NotRun{Reason: outcome.DeadlinePast}, scheduling.Unused
 	}
 	body, err := ex.Body()
 	if err != nil {
 		return outcome.NotRun{Reason: outcome.Cancelled}, scheduling.Unused
 	}
-	m.mu.Lock()
-	m.recordSent(now)
-	m.mu.Unlock()
-	resp, notice, res := m.targetClient.Send(ctx, head, body, instance)
+	print, body, err := fingerprint(head, body)
+	if err != nil {
+		return outcome.NotRun{Reason: outcome.Cancelled}, scheduling.Unused
+	}
+	r := &run{head: head, fingerprint: print}
+	if refusal := m.startRun(r, key, divided, times); refusal != nil {
+		return refusal, scheduling.Unused
+	}
+	resp, notice, res := m.targetClient.Send(ctx, head, body, r.instance)
 	if notice != nil {
 		m.recordNotice(boottime.Now(), notice)
 	}
 	if res != nil {
-		return m.handleFailure(res, key, divided)
+		m.endRun(ctx, r, res)
+		return m.handleFailure(res, r.instance, key, divided)
 	}
 	if noticeSink, ok := ex.(forward.NoticeSink); ok && notice != nil && (notice.Limited || notice.Leaving) {
 		noticeSink.Notice(notice)
 	}
-	return m.deliverAnswer(resp, ex), scheduling.Served
+	res = m.deliverAnswer(resp, ex)
+	m.endRun(ctx, r, res)
+	return res, scheduling.Served
+}
+
+// sendRefusal returns why a request that holds a slot may not be sent to the target at
+// now, or nil.
+func (m *Mesh) sendRefusal(now time.Time, head *request.Head, key uint16, divided bool) outcome.Result {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.sendRefusalLocked(now, head, key, divided)
+}
+
+// sendRefusalLocked is sendRefusal for callers that hold the mutex.
+func (m *Mesh) sendRefusalLocked(now time.Time, head *request.Head, key uint16, divided bool) outcome.Result {
+	refusal := m.leavingRefusal(now, divided)
+	if divided && refusal == nil {
+		refusal = m.ownershipRefusal(now, key)
+	}
+	if refusal == nil && !now.Before(head.Deadline) {
+		return outcome.NotRun{Reason: outcome.DeadlinePast}
+	}
+	return refusal
+}
+
+// startRun records that r is sent to the target's current process, unless it may not be
+// sent; the result says why. Time may have passed since sendRefusal while the start of the
+// body arrived.
+func (m *Mesh) startRun(r *run, key uint16, divided bool, times *requestTimes) outcome.Result {
+	now := boottime.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if refusal := m.sendRefusalLocked(now, r.head, key, divided); refusal != nil {
+		return refusal
+	}
+	if divided {
+		times.grantedUntil, times.targetWarm = m.holdingOf(key).grantedUntil, !now.Before(m.target.coldUntil)
+	}
+	r.instance, r.sentAt = m.target.Instance, now
+	m.running[r] = struct{}{}
+	m.recordSent(now)
+	return nil
 }
 
-// handleFailure updates the state of the target and its grants after a request
-// that was not answered.
-func (m *Mesh) handleFailure(res outcome.Result, key uint16, divided bool) (outcome.Result, scheduling.SlotUse) {
+// handleFailure updates the state of the target and its grants after a request that its
+// process instance did not answer.
+func (m *Mesh) handleFailure(res outcome.Result, instance string, key uint16, divided bool) (outcome.Result, scheduling.SlotUse) {
 	notRun, ok := res.(outcome.NotRun)
 	if !ok {
 		return res, scheduling.Served
@@ -293,7 +326,7 @@
 	case outcome.Malformed:
 		return res, scheduling.Declined
 	case outcome.Unreachable:
-		m.markTargetDown()
+		m.markTargetDown(instance)
 	default:
 	}
 	return res, scheduling.Unused
--- a/io/mesh/grants.go
+++ b/io/mesh/grants.go
@@ -247,6 +247,7 @@
 	ctx, cancel := m.withTimeout(grantTimeout)
 	defer cancel()
 	m.mu.Lock()
+	instance := m.target.Instance
 	// Time may have passed since the grant was found to be due.
 	sentAt := boottime.Now()
 	hold := m.grantDuration(sentAt)
@@ -287,7 +288,7 @@
 	m.mu.Unlock()
 	switch res {
 	case GrantTargetDown:
-		m.markTargetDown()
+		m.markTargetDown(instance)
 	case GrantStale:
 		m.raiseFence(a)
 	default:
--- a/io/mesh/grants_test.go
+++ b/io/mesh/grants_test.go
@@ -38,6 +38,7 @@
 
 		scheduler: scheduling.New(1),
 		delivery:  callDelivery{},
+		running:   map[*run]struct{}{},
 	}
 	entries := []directory.Entry{directory.Member{Address: self, Service: "s", State: directory.Active}.PutEntry()}
 	for _, a := range assignments {
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -116,6 +116,8 @@
 	// Grant grants keys to the target for the duration hold, which starts when
 	// the target receives the call.
 	Grant(ctx context.Context, a directory.Assignment, hold time.Duration) GrantResult
+	// RefusesConnections reports whether nothing listens at the target's address.
+	RefusesConnections(ctx context.Context) bool
 	// Release ends the grant of keys once the requests for them have finished,
 	// and returns the handover for the next owner.
 	Release(ctx context.Context, a directory.Assignment) (handover string, err error)
@@ -230,6 +232,10 @@
 	target   localTarget
 	delivery delivery
 	holdings []*holding
+	// running holds the requests that the target is running, and cutRuns recent ones
+	// whose connection was cut while the target's process seemed to go on.
+	running map[*run]struct{}
+	cutRuns []*run
 	// keyLoad is the load of the keys of this member, and demand that of all
 	// requests for its target.
 	keyLoad *placement.LoadHistogram
@@ -290,6 +296,7 @@
 		receivedHeartbeats: map[netip.AddrPort]peerHeartbeat{},
 		storeOK:            true,
 		delivery:           callDelivery{},
+		running:            map[*run]struct{}{},
 
 		startedAt:    now,
 		decodeConfig: deps.DecodeConfig,
@@ -386,6 +393,7 @@
 	if restarted {
 		m.log.Info("target started", "instance", state.Instance, "born_ms", state.Born, "former", t.Instance)
 		if t.Instance != "" {
+			m.recordTargetEnd(now)
 			m.dropGrants() // the former process held them
 		}
 		*t = localTarget{}
@@ -422,15 +430,16 @@
 }
 
 // markTargetDown records that nothing listens at the target's address: its
-// process has exited and holds no keys.
-func (m *Mesh) markTargetDown() {
+// process instance has exited and holds no keys.
+func (m *Mesh) markTargetDown(instance string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.target.down || m.target.Instance == "" {
+	if m.target.down || m.target.Instance == "" || m.target.Instance != instance {
 		return
 	}
 	m.log.Warn("target is down", "instance", m.target.Instance)
 	m.target.down = true
+	m.recordTargetEnd(boottime.Now())
 	m.dropGrants()
 	m.notify()
 }
--- a/io/mesh/metrics.go
+++ b/io/mesh/metrics.go
@@ -33,6 +33,9 @@
 	// limit and rate.
 	sentBeyondLimit       *counter
 	targetLimit, sentRate tally.Gauge
+	// targetCrashes counts the times that the target's process ended, without having
+	// announced it, while it ran requests.
+	targetCrashes *counter
 	// storeEra is the era of the store.
 	storeEra   tally.Gauge
 	timerLag   lagRecorder
@@ -62,6 +65,7 @@
 		latency:         scope.Histogram("request_time", buckets),
 		sentBeyondLimit: newCounter(scope, "target_requests_beyond_limit"),
 		targetLimit:     scope.Gauge("target_limit_per_second"),
+		targetCrashes:   newCounter(scope, "target_crashes"),
 		storeEra:        scope.Gauge("store_era"),
 		sentRate:        scope.Gauge("target_requests_per_second"),
 		timerLag:        lagRecorder{histogram: scope.Histogram("timer_lag", buckets)},
--- a/io/targetconn/targetconn.go
+++ b/io/targetconn/targetconn.go
@@ -170,6 +170,17 @@
 	return resp, nil
 }
 
+// Refused opens a connection, closes it, and reports whether it was refused since no
+// process listens at the target's address.
+func (c *Client) Refused(ctx context.Context) bool {
+	rawConn, err := c.dialer.DialContext(ctx, "tcp", c.cfg.Address.String())
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = rawConn.Close()
+	return false
+}
+
 // get returns an idle connection that has no unread input, or opens a new one.
 func (c *Client) get(ctx context.Context) (*conn, error) {
 	for {
