Reproduce one request that crashes target after target

The stand-in of the users' server crashes when it begins to run a request with a given path, and is started again after a second.

--- a/standin/keyserver/history.go
+++ b/standin/keyserver/history.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -23,6 +24,7 @@
 	cutOff     map[string]bool     // requests that a server ended since they outlasted their grants
 	methods    map[string]string   // HTTP methods, by request id
 	ownerships []ownership
+	crashes    []time.Time
 }
 
 // NewHistory returns an empty History.
@@ -97,6 +99,20 @@
 	}
 }
 
+// recordCrash records that a request has crashed a server at the given time.
+func (h *History) recordCrash(at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.crashes = append(h.crashes, at)
+}
+
+// Crashes returns when requests have crashed servers.
+func (h *History) Crashes() []time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.crashes)
+}
+
 // Runs returns how many times a server started to run the request id.
 func (h *History) Runs(id string) int {
 	h.mu.Lock()
--- a/standin/meshfleet/meshfleet.go
+++ b/standin/meshfleet/meshfleet.go
@@ -28,6 +28,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -58,6 +59,9 @@
 	GrantsInHeartbeats bool
 	// MeanServiceTime is the mean service time of a request at a server.
 	MeanServiceTime time.Duration
+	// DeadlyPath is the path of the requests that crash the server that runs them; empty
+	// if there is none. A crashed server is started again after a second.
+	DeadlyPath string
 	// Logs receives the daemons' log lines; nil discards them.
 	Logs io.Writer
 }
@@ -78,8 +82,15 @@
 	ports       ports
 	fleetNumber byte
 	version     atomic.Uint64
+	// restarts tracks the crashed servers that are about to be started again, and closing
+	// is closed when they are not to be any more.
+	restarts sync.WaitGroup
+	closing  chan struct{}
 }
 
+// restartDelay is how long after a crash a server is started again.
+const restartDelay = time.Second
+
 // fleetCount is the number of fleets that this process has started.
 var fleetCount atomic.Uint32
 
@@ -109,7 +120,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &Fleet{Store: metastore.New(opts.Seed), History: keyserver.NewHistory(), opts: opts, dir: dir}
+	f := &Fleet{Store: metastore.New(opts.Seed), History: keyserver.NewHistory(), opts: opts, dir: dir, closing: make(chan struct{})}
 	if err := f.start(); err != nil {
 		f.Close()
 		return nil, err
@@ -149,6 +160,8 @@
 // Close kills the daemons, stops the servers and the metadata store, and removes
 // the fleet's temporary directory.
 func (f *Fleet) Close() {
+	close(f.closing)
+	f.restarts.Wait()
 	for _, vm := range f.VMs {
 		vm.Kill()
 		if vm.Server != nil {
@@ -258,11 +271,27 @@
 		MeanServiceTime:    vm.fleet.opts.MeanServiceTime,
 		HeartbeatInterval:  300 * time.Millisecond,
 		History:            vm.fleet.History,
+		DeadlyPath:         vm.fleet.opts.DeadlyPath,
+		OnCrash:            vm.restartServer,
 	})
 	vm.Server = server
 	return err
 }
 
+// restartServer starts a new server after restartDelay, unless the fleet is closed before.
+func (vm *VM) restartServer() {
+	vm.fleet.restarts.Add(1)
+	defer vm.fleet.restarts.Done()
+	select {
+	case <-vm.fleet.closing:
+		return
+	case <-time.After(restartDelay):
+	}
+	if err := vm.StartServer(); err != nil {
+		panic(fmt.Sprintf("start the server of VM %d again: %v", vm.number, err))
+	}
+}
+
 // StartDaemon starts the process of the VM's daemon, without waiting until it is
 // ready.
 func (vm *VM) StartDaemon() error {
