Send a refused request again on another connection

Answers are compared by request id, which does not help if the same request is sent again, as after a refusal: the second refusal was taken for the answer to the second attempt.

A connection keeps the ids of the requests that were refused on it, and such a request takes another connection. After 64 refusals the connection is closed.

--- a/io/targetconn/targetconn.go
+++ b/io/targetconn/targetconn.go
@@ -56,6 +56,8 @@
 	maxResponses = 4
 	// bufferBytes is the size of the read buffer of a connection.
 	bufferBytes = 4 << 10
+	// maxRefusedIDs is the number of refused requests after which a connection is closed.
+	maxRefusedIDs = 64
 	// maxInlineBodyBytes is the maximum size of a request body that is written
 	// together with the headers in one call.
 	maxInlineBodyBytes = 16 << 10
@@ -91,6 +93,16 @@
 	// ContentLength is the length of Body in bytes, or -1 if it is unknown.
 	ContentLength int64
 	Body          io.ReadCloser
+
+	conn *conn
+}
+
+// MarkRefused tells the Client that the response is a refusal, after which the same request
+// may be sent again. It is not sent on the same connection: the target may write the refusal
+// a second time, which could not be told from the response to the repeated request.
+// MarkRefused must be called before Body is closed.
+func (r *Response) MarkRefused(requestID string) {
+	r.conn.refusedIDs = append(r.conn.refusedIDs, requestID)
 }
 
 // Error describes a failed exchange.
@@ -134,6 +146,8 @@
 	// connection was last returned to the Client.
 	idleTimeout time.Duration
 	idleSince   time.Time
+	// refusedIDs are the IDs of the requests on this connection that were refused.
+	refusedIDs []string
 }
 
 // Close closes the idle connections. Connections in use are closed when their
@@ -152,7 +166,7 @@
 // the whole exchange, including the body of the response. After a failure the error
 // is that of ctx if ctx has ended.
 func (c *Client) Do(ctx context.Context, req *Request) (*Response, *Error) {
-	cn, err := c.get(ctx)
+	cn, err := c.get(ctx, req.RequestID)
 	if err != nil {
 		return nil, &Error{Refused: errors.Is(err, syscall.ECONNREFUSED), Err: err}
 	}
@@ -181,18 +195,10 @@
 	return false
 }
 
-// get returns an idle connection that has no unread input, or opens a new one.
-func (c *Client) get(ctx context.Context) (*conn, error) {
-	for {
-		c.mu.Lock()
-		n := len(c.idle)
-		if n == 0 {
-			c.mu.Unlock()
-			break
-		}
-		cn := c.idle[n-1]
-		c.idle = c.idle[:n-1]
-		c.mu.Unlock()
+// get returns an idle connection that has no unread input and on which no request with the
+// ID requestID was refused, or opens a new one.
+func (c *Client) get(ctx context.Context, requestID string) (*conn, error) {
+	for cn := c.takeIdle(requestID); cn != nil; cn = c.takeIdle(requestID) {
 		if cn.withinIdleTimeout(time.Now()) && cn.hasNoInput() {
 			return cn, nil
 		}
@@ -205,6 +211,21 @@
 	return &conn{Conn: rawConn, in: bufio.NewReaderSize(rawConn, bufferBytes), idleTimeout: defaultIdleTimeout}, nil
 }
 
+// takeIdle removes the connection that became idle last from the idle ones and returns it,
+// or nil if there is none. It passes over those on which a request with the ID requestID was
+// refused.
+func (c *Client) takeIdle(requestID string) *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i, cn := range slices.Backward(c.idle) {
+		if !slices.Contains(cn.refusedIDs, requestID) {
+			c.idle = slices.Delete(c.idle, i, i+1)
+			return cn
+		}
+	}
+	return nil
+}
+
 // putIdle keeps cn for a later exchange. Idle connections are reused in last-in,
 // first-out order, so that get would never reach the surplus connections that remain
 // after a load peak. Therefore putIdle closes the connection that has been idle for
@@ -401,6 +422,7 @@
 		Header:        resp.Header,
 		ContentLength: resp.ContentLength,
 		Body:          &responseBody{x: x, in: resp.Body, reuse: delimited && !resp.Close},
+		conn:          x.conn,
 	}
 }
 
@@ -448,7 +470,8 @@
 	}
 	b.closed = true
 	notCancelled := b.x.stopCancel()
-	if b.reachedEOF && b.reuse && notCancelled && b.x.requestWritten() && b.x.conn.in.Buffered() == 0 {
+	reuse := b.reuse && len(b.x.conn.refusedIDs) < maxRefusedIDs
+	if b.reachedEOF && reuse && notCancelled && b.x.requestWritten() && b.x.conn.in.Buffered() == 0 {
 		b.x.client.putIdle(b.x.conn)
 		return nil
 	}
--- a/io/targetconn/targetconn_test.go
+++ b/io/targetconn/targetconn_test.go
@@ -78,6 +78,9 @@
 		return "", failed
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.Status == http.StatusServiceUnavailable {
+		resp.MarkRefused(id)
+	}
 	body, err := io.ReadAll(resp.Body)
 	return string(body), err
 }
@@ -201,3 +204,57 @@
 type failingReader struct{}
 
 func (failingReader) Read([]byte) (int, error) { return 0, errors.New("read failed") }
+
+// TestRepeatedRefusalIsTakenForTheNextAnswer lets a target write a refusal a second time, when
+// the same request comes again on the connection, before it answers that request.
+func TestRepeatedRefusalIsTakenForTheNextAnswer(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nId: 1\r\nContent-Length: 0\r\n\r\n"
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		first := true
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			responses := make(chan string, 2)
+			if first {
+				responses <- refusal
+				responses <- refusal + respOK("1", "a")
+			} else {
+				responses <- respOK("1", "a")
+			}
+			first = false
+			go serveResponses(conn, responses)
+		}
+	}()
+	c := New(Config{Address: l.Addr().(*net.TCPAddr).AddrPort(), RequestIDHeader: "Id"})
+	t.Cleanup(c.Close)
+	body, err := fetch(c, "1")
+	require.NoError(t, err)
+	require.Empty(t, body)
+	body, err = fetch(c, "1")
+	require.NoError(t, err)
+	require.Equal(t, "a", body)
+}
+
+// TestAnswerCutWithinItsHead cuts a response after each of its bytes but the last.
+func TestAnswerCutWithinItsHead(t *testing.T) {
+	for _, response := range []string{
+		respOK("1", "body"),
+		"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nConnection: close\r\nId: 1\r\n\r\n",
+		"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 204 No Content\r\nId: 1\r\n\r\n",
+	} {
+		for n := range len(response) {
+			c, _ := newTestTarget(t, response[:n]+"CLOSE")
+			body, err := fetch(c, "1")
+			if err == nil {
+				t.Errorf("response %q is taken for a complete one with the body %q", response[:n], body)
+			}
+		}
+	}
+}
--- a/standin/keyserver/keyserver.go
+++ b/standin/keyserver/keyserver.go
@@ -7,8 +7,8 @@
 //   - It answers a release once the requests in progress on its keys have ended.
 //   - It sends heartbeats to the daemon on its VM, and reports when it drains.
 //   - A request may crash it.
-//   - Faults make it lose answers, send an unsolicited second answer, or answer
-//     late.
+//   - Faults make it lose answers, send an unsolicited second answer, cut answers off, or
+//     answer late.
 //
 // All servers of a test share a History of the requests that they ran and the keys
 // that they held, so that a test can compare what callers were told with what the
@@ -72,6 +72,13 @@
 	// LoseAnswers is the share of answers that are lost, and ExtraAnswers the share
 	// of answers with status 200 that are followed by an unsolicited second answer.
 	LoseAnswers, ExtraAnswers float64
+	// Refuse is the share of requests that are refused although a slot is free, and
+	// RepeatRefusals the share of refusals that are written once more when the next
+	// request arrives on the connection, before its answer.
+	Refuse, RepeatRefusals float64
+	// CutHeads is the share of answers that end in the middle of their head, after which
+	// the connection is closed.
+	CutHeads float64
 	// LoseGrants is the share of grants that take effect but are not answered.
 	LoseGrants float64
 	// LoseHeartbeatAnswers is the share of answers to heartbeats that are lost.
@@ -156,7 +163,7 @@
 	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
 	ctx, cancel := context.WithCancel(context.Background())
 	s.stopHeartbeats = cancel
-	go func() { _ = s.server.Serve(&extraAnswerListener{Listener: l, server: s}) }()
+	go func() { _ = s.server.Serve(&faultyListener{Listener: l, server: s}) }()
 	go s.sendHeartbeats(ctx)
 	return s, nil
 }
@@ -382,6 +389,13 @@
 	return false
 }
 
+// chance returns true with the probability that share returns for the current faults.
+func (s *Server) chance(share func(Fault) float64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return rand.Float64() < share(s.fault)
+}
+
 // refuse answers a request that is not run.
 func refuse(w http.ResponseWriter, status int) {
 	w.Header().Set("X-Not-Executed", "1")
@@ -396,7 +410,7 @@
 		refuse(w, http.StatusMisdirectedRequest)
 		return
 	}
-	if !s.acquireSlot(r.Context()) {
+	if s.chance(func(f Fault) float64 { return f.Refuse }) || !s.acquireSlot(r.Context()) {
 		refuse(w, http.StatusServiceUnavailable)
 		return
 	}
--- a/test/mesh/mesh_test.go
+++ b/test/mesh/mesh_test.go
@@ -531,6 +531,8 @@
 	}{
 		{"extra answers", keyserver.Fault{ExtraAnswers: 0.3, Slow: 1}, 0.99},
 		{"lost answers", keyserver.Fault{LoseAnswers: 0.1, Slow: 1}, 0.85},
+		{"repeated refusals", keyserver.Fault{Refuse: 0.2, RepeatRefusals: 1, Slow: 1}, 0.6},
+		{"answers cut within their head", keyserver.Fault{CutHeads: 0.1, Slow: 1}, 0.85},
 		{"unanswered grants", keyserver.Fault{LoseGrants: 0.5, Slow: 1}, 0.95},
 		{"slow", keyserver.Fault{Slow: 4}, 0.95},
 	} {
