Refuse requests that may outlive a daemon that stops

A daemon that stops takes requests until its keys are transferred, for half of the time that it has at most (3 s of 6 s). One with a long timeout could then outlast the process. Requests on connections that were opened before the listener closed are not read any more after that; net/http closes those.

Once callers have had the time to notice that it is not ready, the daemon refuses at once what could end later than it does.

--- a/cmd/siskinknot/mesh.go
+++ b/cmd/siskinknot/mesh.go
@@ -17,6 +17,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/rotisserie/eris"
 
+	"siskinknot/io/boottime"
 	"siskinknot/io/config"
 	"siskinknot/io/logwriter"
 	"siskinknot/io/mesh"
@@ -243,6 +244,8 @@
 	defer cancel()
 	leaveCtx, cancelLeave := context.WithTimeout(ctx, time.Duration(float64(limit)*leaveShare))
 	defer cancelLeave()
+	now := boottime.Now()
+	n.mesh.StopAt(now.Add(noticePeriod), now.Add(limit-closeReserve))
 	noticed := time.After(noticePeriod)
 	evacuated := n.mesh.Leave(leaveCtx)
 	select {
--- a/io/mesh/ingress.go
+++ b/io/mesh/ingress.go
@@ -151,9 +151,13 @@
 		}
 		c.key = uint16(key)
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.head.Deadline.Sub(boottime.Now()))
+	now := boottime.Now()
+	ctx, cancel := context.WithTimeout(ctx, c.head.Deadline.Sub(now))
 	defer cancel()
-	res := m.sendWithRetries(ctx, c)
+	var res outcome.Result = outcome.NotRun{Reason: outcome.Draining, RetryAfter: lossRetryAfter}
+	if !m.outlivesStop(now, c.head.Deadline) {
+		res = m.sendWithRetries(ctx, c)
+	}
 	m.metrics.recordOutcome(res, boottime.Now().Sub(req.ReceivedAt))
 	m.logOutcome(c, table, res)
 	return res
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -231,9 +231,12 @@
 	// accepts no more requests for its target.
 	leaving  bool
 	draining bool
-	target   localTarget
-	delivery delivery
-	holdings []*holding
+	// stopsAt is when this process ends; zero if it is not shutting down. From lateFrom
+	// on, only requests of callers that end before stopsAt are accepted.
+	lateFrom, stopsAt time.Time
+	target            localTarget
+	delivery          delivery
+	holdings          []*holding
 	// running holds the requests that the target is running, and cutRuns recent ones
 	// whose connection was cut while the target's process seemed to go on.
 	running map[*run]struct{}
--- a/io/mesh/move.go
+++ b/io/mesh/move.go
@@ -344,6 +344,22 @@
 	return err == nil
 }
 
+// StopAt declares that this process ends at stopsAt. From lateFrom on, Serve refuses the
+// requests whose deadline is later than that: they might be cut off while they run.
+func (m *Mesh) StopAt(lateFrom, stopsAt time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lateFrom, m.stopsAt = lateFrom, stopsAt
+}
+
+// outlivesStop reports whether a request that arrives at now and has the given deadline may
+// still run when this process ends.
+func (m *Mesh) outlivesStop(now, deadline time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.stopsAt.IsZero() && !now.Before(m.lateFrom) && deadline.After(m.stopsAt)
+}
+
 // Drain refuses further requests for this daemon's target and waits until the
 // requests in progress have finished. It reports false if ctx ends first.
 func (m *Mesh) Drain(ctx context.Context) bool {
--- a/standin/meshfleet/meshfleet.go
+++ b/standin/meshfleet/meshfleet.go
@@ -17,6 +17,7 @@
 package meshfleet
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -59,6 +60,8 @@
 	GrantsInHeartbeats bool
 	// MeanServiceTime is the mean service time of a request at a server.
 	MeanServiceTime time.Duration
+	// RouteTimeout is the timeout of the routes; 0 stands for 2 s.
+	RouteTimeout time.Duration
 	// DeadlyPath is the path of the requests that crash the server that runs them; empty
 	// if there is none. A crashed server is started again after a second.
 	DeadlyPath string
@@ -191,9 +194,10 @@
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 26, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	}
 	routeDocs := map[string]any{}
+	timeout := cmp.Or(f.opts.RouteTimeout, 2*time.Second)
 	addRoute := func(prefix, kind, service string, priority int) {
 		routeDocs["r-"+strings.Trim(prefix, "/")] = map[string]any{
-			"hostname": host, "path_prefix": prefix, "route_type": kind, "timeout_ms": 2000, "target_latency_ms": 1000,
+			"hostname": host, "path_prefix": prefix, "route_type": kind, "timeout_ms": timeout.Milliseconds(), "target_latency_ms": 1000,
 			"priority": priority, "service": service, "max_attempts": 2,
 		}
 	}
