Explain a quarantined request by the crash that its fingerprint was seen in

The line of a rejected request named no request that had crashed a target. A row of TestFind failed before.

--- a/io/logreader/logreader.go
+++ b/io/logreader/logreader.go
@@ -38,7 +38,7 @@
 	Message string
 	// MatchesRequest is set if the line carries the ID of the request. Other
 	// lines report what else happened at the same daemon, such as a change of
-	// its target.
+	// its target, or that a request with the same fingerprint was quarantined.
 	MatchesRequest bool
 	Fields         map[string]any
 }
@@ -57,7 +57,7 @@
 // Find returns the lines about the request with the given ID. It also returns
 // the lines about no request that the daemons on the request's path wrote in
 // the period that begins window before the first of these lines and ends with
-// the last. The error is that of a log that cannot be read or that has a line
+// the last, and the lines about its fingerprint, if the request has one. The error is that of a log that cannot be read or that has a line
 // of over 1 MiB.
 func Find(id string, window time.Duration, logs ...io.Reader) (*Path, error) {
 	var lines []Line
@@ -70,12 +70,16 @@
 	}
 	p := &Path{ID: id, ClockSkews: map[string]time.Duration{}}
 	servers := map[string]bool{}
+	fingerprint := ""
 	var first, last time.Time
 	for _, l := range lines {
 		if !l.MatchesRequest {
 			continue
 		}
 		servers[l.Server] = true
+		if f := stringValue(l.Fields["fingerprint"]); f != "" {
+			fingerprint = f
+		}
 		if first.IsZero() || l.At.Before(first) {
 			first = l.At
 		}
@@ -84,8 +88,10 @@
 		}
 	}
 	for _, l := range lines {
-		inWindow := servers[l.Server] && l.At.After(first.Add(-window)) && !l.At.After(last)
-		if l.MatchesRequest || inWindow {
+		_, aboutRequest := l.Fields["request"]
+		inWindow := !aboutRequest && servers[l.Server] && l.At.After(first.Add(-window)) && !l.At.After(last)
+		sameFingerprint := fingerprint != "" && l.Fields["fingerprint"] == fingerprint && !l.isOutcome()
+		if l.MatchesRequest || inWindow || sameFingerprint {
 			p.Lines = append(p.Lines, l)
 		}
 	}
@@ -94,8 +100,11 @@
 	return p, nil
 }
 
-// readLines returns the lines of a log that are about the request ID or about no
-// request.
+// isOutcome reports whether the line says how a request ended.
+func (l *Line) isOutcome() bool { return l.Fields["outcome"] != nil }
+
+// readLines returns the lines of a log that are about the request ID, about no request, or
+// about a fingerprint.
 func readLines(log io.Reader, id string) ([]Line, error) {
 	var lines []Line
 	scanner := bufio.NewScanner(log)
@@ -110,7 +119,8 @@
 			continue // a line of another program
 		}
 		request, isRequest := fields["request"]
-		if isRequest && request != id {
+		matches := isRequest && request == id
+		if isRequest && !matches && stringValue(fields["fingerprint"]) == "" {
 			continue
 		}
 		at, err := time.Parse(time.RFC3339Nano, stringValue(fields["@timestamp"]))
@@ -118,7 +128,7 @@
 			continue
 		}
 		lines = append(lines, Line{
-			At: at, Server: stringValue(fields["server"]), Message: stringValue(fields["@message"]), MatchesRequest: isRequest, Fields: fields,
+			At: at, Server: stringValue(fields["server"]), Message: stringValue(fields["@message"]), MatchesRequest: matches, Fields: fields,
 		})
 	}
 	return lines, eris.Wrap(scanner.Err(), "read log")
--- a/io/logreader/logreader_test.go
+++ b/io/logreader/logreader_test.go
@@ -18,6 +18,11 @@
 {"@message":"old news","@timestamp":"2026-12-04T09:00:00.200000Z","server":"vm-2"}
 {"@message":"request not answered by target","@timestamp":"2026-12-04T10:00:00.900000Z","server":"vm-2","request":"r1","reason":"connection_cut"}`
 
+const quarantineLog = `{"@message":"request quarantined","@timestamp":"2026-12-04T09:59:50.000000Z","server":"vm-3","request":"r0","fingerprint":"f1"}
+{"@message":"request quarantined","@timestamp":"2026-12-04T09:59:50.000000Z","server":"vm-3","request":"r0","fingerprint":"f2"}
+{"@message":"request not answered","@timestamp":"2026-12-04T10:00:01.000000Z","server":"vm-3","request":"r4","outcome":"not_run","fingerprint":"f1"}
+{"@message":"request not answered","@timestamp":"2026-12-04T10:00:02.000000Z","server":"vm-3","request":"r5","outcome":"not_run","fingerprint":"f1"}`
+
 func TestFind(t *testing.T) {
 	for _, row := range []struct {
 		name, id string
@@ -27,9 +32,10 @@
 		{"two daemons", "r1", []string{"target is down", "request not answered by target", "request not answered"}, 199 * time.Millisecond},
 		{"ingress daemon only", "r2", []string{"request not answered"}, 0},
 		{"unknown request", "r3", nil, 0},
+		{"quarantined because of another request", "r4", []string{"request quarantined", "request not answered"}, 0},
 	} {
 		t.Run(row.name, func(t *testing.T) {
-			path, err := Find(row.id, 2*time.Second, strings.NewReader(ingressLog), strings.NewReader(ownerLog))
+			path, err := Find(row.id, 2*time.Second, strings.NewReader(ingressLog), strings.NewReader(ownerLog), strings.NewReader(quarantineLog))
 			require.NoError(t, err)
 			var messages []string
 			for _, l := range path.Lines {
--- a/io/mesh/ingress.go
+++ b/io/mesh/ingress.go
@@ -440,19 +440,17 @@
 	version, storeOK := m.dir.Version(), m.storeOK
 	owner, fence, age := m.lastOwner(now, c)
 	m.mu.Unlock()
-	m.log.Info(message, "request", c.head.ID, "route", c.route.Name, "service", c.head.Service,
+	fields := []any{
+		"request", c.head.ID, "route", c.route.Name, "service", c.head.Service,
 		"key", c.head.Key, "outcome", res.String(), "reason", reasonOf(res), "tries", c.attempts,
 		"took_ms", now.Sub(c.req.ReceivedAt).Milliseconds(), "left_ms", c.head.Deadline.Sub(now).Milliseconds(),
 		"late_ms", now.Sub(c.head.Objective).Milliseconds(), "config", table.Version, "directory", version, "store_ok", storeOK,
-		"owner", owner, "fence", fence, "report_age_ms", age.Milliseconds(), "fingerprint", suspectName(c))
-}
-
-// suspectName returns the fingerprint of a request that may be a suspect, or "".
-func suspectName(c *call) string {
-	if c.fingerprint == (quarantine.Fingerprint{}) {
-		return ""
+		"owner", owner, "fence", fence, "report_age_ms", age.Milliseconds(),
+	}
+	if c.fingerprint != (quarantine.Fingerprint{}) {
+		fields = append(fields, "fingerprint", c.fingerprint.String())
 	}
-	return c.fingerprint.String()
+	m.log.Info(message, fields...)
 }
 
 // lastOwner returns the member that a request was last sent to, the fence of
