Keep an answer or a refusal that came just before its target's end

A request that was answered, but not yet taken off the list of running ones when the target's end was noticed, ended as unknown: its answer was dropped, or the caller's connection aborted after the whole answer. Only a result that is unknown is replaced now. A body whose start does not arrive in time ends as deadline_past, not as cancelled. TestOutcomeOfRequestsAtCrash failed in two rows before.

--- a/io/mesh/admission.go
+++ b/io/mesh/admission.go
@@ -242,7 +242,10 @@
 		return outcome.NotRun{Reason: outcome.Cancelled}, scheduling.Unused
 	}
 	print, body, err := fingerprint(ctx, head, body)
-	if err != nil {
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
+		return outcome.NotRun{Reason: outcome.DeadlinePast}, scheduling.Unused
+	case err != nil:
 		return outcome.NotRun{Reason: outcome.Cancelled}, scheduling.Unused
 	}
 	r := &run{head: head, fingerprint: print}
--- a/io/mesh/running.go
+++ b/io/mesh/running.go
@@ -87,17 +87,20 @@
 	if r.onTrial {
 		m.suspects.EndTrial(r.fingerprint)
 	}
-	if _, answered := res.(outcome.Answered); answered {
-		m.recordCompletion(r)
-	}
 	now := boottime.Now()
 	m.cutRuns = slices.DeleteFunc(m.cutRuns, func(cut *run) bool { return now.Sub(cut.cutAt) > cutRunMemory })
 	if wasCut && r.instance == m.target.Instance && !m.target.down {
 		r.cutAt = now
 		m.cutRuns = append(m.cutRuns, r)
 	}
-	if r.crashed {
-		return outcome.Unknown{Reason: outcome.TargetCrashed}
+	switch res.(type) {
+	case outcome.Answered:
+		m.recordCompletion(r) // also if the process ended just after it had answered
+	case outcome.Unknown:
+		if r.crashed {
+			return outcome.Unknown{Reason: outcome.TargetCrashed}
+		}
+	case outcome.NotRun:
 	}
 	return res
 }
--- /dev/null
+++ b/io/mesh/running_test.go
@@ -0,0 +1,40 @@
+package mesh
+
+import (
+	"context"
+	"net/http"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/require"
+
+	"siskinknot/core/outcome"
+	"siskinknot/core/quarantine"
+	"siskinknot/core/request"
+)
+
+// TestOutcomeOfRequestsAtCrash checks how requests end whose target's process ends while it
+// has them, and which of them are suspects afterwards.
+func TestOutcomeOfRequestsAtCrash(t *testing.T) {
+	for _, row := range []struct {
+		name    string
+		res     outcome.Result
+		want    outcome.Result
+		suspect bool
+	}{
+		{"cut off", outcome.Unknown{Reason: outcome.ConnectionCut}, outcome.Unknown{Reason: outcome.TargetCrashed}, true},
+		{"answered just before", outcome.Answered{Status: http.StatusOK}, outcome.Answered{Status: http.StatusOK}, false},
+		{"refused just before", outcome.NotRun{Reason: outcome.Shed}, outcome.NotRun{Reason: outcome.Shed}, true},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			m := newTestMesh()
+			m.log = hclog.NewNullLogger()
+			m.target.Instance = "i-1"
+			r := &run{head: &request.Head{ID: "r1"}, fingerprint: quarantine.Fingerprint{Head: 1}, instance: "i-1"}
+			m.running[r] = struct{}{}
+			m.markTargetDown("i-1")
+			require.Equal(t, row.want, m.endRun(context.Background(), r, row.res))
+			require.Equal(t, row.suspect, m.suspects.Rejected(r.sentAt) == 1)
+		})
+	}
+}
