Tell the crashes of processes with the same instance apart

A server may start again under the id that it had. Its crashes had the same ID then, so that the crash of a trial was taken for the one before and did not lengthen the quarantine. Processes are identified by instance and start now. TestServerThatKeepsItsIDCrashesAgain: one crash recorded of two before (by reading; the test needs the new type).

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -27,7 +27,7 @@
 //
 // # Usage
 //
-//	suspects := list.RecordCrash(now, quarantine.NewCrashID(instance), runs)
+//	suspects := list.RecordCrash(now, quarantine.NewCrashID(instance, born), runs)
 //	switch v := list.Verdict(now, fingerprint).(type) {
 //	case quarantine.Clear:
 //	case quarantine.Quarantined:
@@ -43,6 +43,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -70,8 +71,11 @@
 // CrashID identifies an unexpected end of a target's process.
 type CrashID uint64
 
-// NewCrashID returns the ID of the end of the process instance.
-func NewCrashID(instance string) CrashID { return CrashID(xxhash.Sum64String(instance)) }
+// NewCrashID returns the ID of the end of the process instance that was started at born, in
+// Unix milliseconds. Processes that follow each other may have the same instance.
+func NewCrashID(instance string, born int64) CrashID {
+	return CrashID(xxhash.Sum64String(fmt.Sprintf("%s %d", instance, born)))
+}
 
 // Crash is a crash during which a suspect was running.
 type Crash struct {
--- a/io/mesh/admission.go
+++ b/io/mesh/admission.go
@@ -252,12 +252,12 @@
 	if refusal := m.startRun(r, key, divided, times); refusal != nil {
 		return refusal, scheduling.Unused
 	}
-	resp, notice, res := m.targetClient.Send(ctx, head, body, r.instance)
+	resp, notice, res := m.targetClient.Send(ctx, head, body, r.process.instance)
 	if notice != nil {
 		m.recordNotice(boottime.Now(), notice)
 	}
 	if res != nil {
-		return m.handleFailure(m.endRun(ctx, r, res), r.instance, key, divided)
+		return m.handleFailure(m.endRun(ctx, r, res), r.process, key, divided)
 	}
 	if noticeSink, ok := ex.(forward.NoticeSink); ok && notice != nil && (notice.Limited || notice.Leaving) {
 		noticeSink.Notice(notice)
@@ -301,15 +301,15 @@
 	if divided {
 		times.grantedUntil, times.targetWarm = m.holdingOf(key).grantedUntil, !now.Before(m.target.coldUntil)
 	}
-	r.instance, r.sentAt = m.target.Instance, now
+	r.process, r.sentAt = m.target.process(), now
 	m.running[r] = struct{}{}
 	m.recordSent(now)
 	return nil
 }
 
 // handleFailure updates the state of the target and its grants after a request that its
-// process instance did not answer.
-func (m *Mesh) handleFailure(res outcome.Result, instance string, key uint16, divided bool) (outcome.Result, scheduling.SlotUse) {
+// process p did not answer.
+func (m *Mesh) handleFailure(res outcome.Result, p process, key uint16, divided bool) (outcome.Result, scheduling.SlotUse) {
 	notRun, ok := res.(outcome.NotRun)
 	if !ok {
 		return res, scheduling.Served
@@ -329,7 +329,7 @@
 	case outcome.Malformed:
 		return res, scheduling.Declined
 	case outcome.Unreachable:
-		m.markTargetDown(instance)
+		m.markTargetDown(p)
 	default:
 	}
 	return res, scheduling.Unused
--- a/io/mesh/grants.go
+++ b/io/mesh/grants.go
@@ -247,7 +247,7 @@
 	ctx, cancel := m.withTimeout(grantTimeout)
 	defer cancel()
 	m.mu.Lock()
-	instance := m.target.Instance
+	process := m.target.process()
 	// Time may have passed since the grant was found to be due.
 	sentAt := boottime.Now()
 	hold := m.grantDuration(sentAt)
@@ -264,7 +264,7 @@
 	m.recordGrantResult(h, a, sentAt, hold, res)
 	switch res {
 	case GrantTargetDown:
-		m.markTargetDown(instance)
+		m.markTargetDown(process)
 	case GrantStale:
 		m.raiseFence(a)
 	default:
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -442,11 +442,11 @@
 }
 
 // markTargetDown records that nothing listens at the target's address: its
-// process instance has exited and holds no keys.
-func (m *Mesh) markTargetDown(instance string) {
+// process p has exited and holds no keys.
+func (m *Mesh) markTargetDown(p process) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.target.down || m.target.Instance == "" || m.target.Instance != instance {
+	if m.target.down || m.target.Instance == "" || m.target.process() != p {
 		return
 	}
 	m.log.Warn("target is down", "instance", m.target.Instance)
--- a/io/mesh/running.go
+++ b/io/mesh/running.go
@@ -20,11 +20,21 @@
 // the first heartbeat of the next one.
 const cutRunMemory = 5 * time.Second
 
-// run is a request that was sent to the target's process instance.
+// process identifies a process of the target. Processes that follow each other may have the
+// same instance.
+type process struct {
+	instance string
+	born     int64
+}
+
+// process returns the target's current process.
+func (t *localTarget) process() process { return process{t.Instance, t.Born} }
+
+// run is a request that was sent to the target.
 type run struct {
 	head        *request.Head
 	fingerprint quarantine.Fingerprint
-	instance    string
+	process     process
 	sentAt      time.Time
 	// cutAt is when the connection was cut before the answer was complete, or zero.
 	cutAt time.Time
@@ -79,7 +89,7 @@
 func (m *Mesh) endRun(ctx context.Context, r *run, res outcome.Result) outcome.Result {
 	wasCut := reasonOf(res) == outcome.ConnectionCut
 	if wasCut {
-		m.checkTarget(ctx, r.instance)
+		m.checkTarget(ctx, r.process)
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -89,7 +99,7 @@
 	}
 	now := boottime.Now()
 	m.cutRuns = slices.DeleteFunc(m.cutRuns, func(cut *run) bool { return now.Sub(cut.cutAt) > cutRunMemory })
-	if wasCut && r.instance == m.target.Instance && !m.target.down {
+	if wasCut && r.process == m.target.process() && !m.target.down {
 		r.cutAt = now
 		m.cutRuns = append(m.cutRuns, r)
 	}
@@ -105,30 +115,30 @@
 	return res
 }
 
-// checkTarget marks the target as down if nothing listens at its address and instance is
-// still its current process.
-func (m *Mesh) checkTarget(ctx context.Context, instance string) {
+// checkTarget marks the target as down if nothing listens at its address and p is still its
+// current process.
+func (m *Mesh) checkTarget(ctx context.Context, p process) {
 	m.mu.Lock()
-	current := m.target.Instance == instance && !m.target.down
+	current := m.target.process() == p && !m.target.down
 	m.mu.Unlock()
 	if current && m.targetClient.RefusesConnections(ctx) {
-		m.markTargetDown(instance)
+		m.markTargetDown(p)
 	}
 }
 
-// takeRunsOf removes the requests that the target's process instance was running, or whose
+// takeRunsOf removes the requests that the target's process p was running, or whose
 // connection was cut shortly before now, and returns them in the order in which they were
 // sent. The caller holds the mutex.
-func (m *Mesh) takeRunsOf(now time.Time, instance string) []*run {
+func (m *Mesh) takeRunsOf(now time.Time, p process) []*run {
 	var runs []*run
 	for r := range m.running {
-		if r.instance == instance {
+		if r.process == p {
 			runs = append(runs, r)
 			delete(m.running, r)
 		}
 	}
 	for _, r := range m.cutRuns {
-		if r.instance == instance && now.Sub(r.cutAt) <= cutRunMemory {
+		if r.process == p && now.Sub(r.cutAt) <= cutRunMemory {
 			runs = append(runs, r)
 		}
 	}
@@ -141,7 +151,7 @@
 // expected to if it had not announced its shutdown. The caller holds the mutex.
 func (m *Mesh) recordTargetEnd(now time.Time) {
 	t := &m.target
-	runs := m.takeRunsOf(now, t.Instance)
+	runs := m.takeRunsOf(now, t.process())
 	if !t.leavingSince.IsZero() || len(runs) == 0 {
 		return
 	}
--- a/io/mesh/running_test.go
+++ b/io/mesh/running_test.go
@@ -30,11 +30,26 @@
 			m := newTestMesh()
 			m.log = hclog.NewNullLogger()
 			m.target.Instance = "i-1"
-			r := &run{head: &request.Head{ID: "r1"}, fingerprint: quarantine.Fingerprint{Head: 1}, instance: "i-1"}
+			r := &run{head: &request.Head{ID: "r1"}, fingerprint: quarantine.Fingerprint{Head: 1}, process: m.target.process()}
 			m.running[r] = struct{}{}
-			m.markTargetDown("i-1")
+			m.markTargetDown(m.target.process())
 			require.Equal(t, row.want, m.endRun(context.Background(), r, row.res))
 			require.Equal(t, row.suspect, m.suspects.Rejected(r.sentAt) == 1)
 		})
 	}
 }
+
+// TestServerThatKeepsItsIDCrashesAgain lets a trial crash a target whose next process has the
+// same instance as the one before.
+func TestServerThatKeepsItsIDCrashesAgain(t *testing.T) {
+	m := newTestMesh()
+	m.log = hclog.NewNullLogger()
+	f := quarantine.Fingerprint{Head: 1}
+	for born := range int64(2) {
+		m.target.TargetState, m.target.down = TargetState{Instance: "i-1", Born: born}, false
+		r := &run{head: &request.Head{ID: "r1"}, fingerprint: f, process: m.target.process(), onTrial: born > 0}
+		m.running[r] = struct{}{}
+		m.markTargetDown(m.target.process())
+	}
+	require.Len(t, m.suspects.Suspects()[0].Crashes, 2)
+}
--- a/io/mesh/suspects.go
+++ b/io/mesh/suspects.go
@@ -132,7 +132,7 @@
 			Fingerprint: r.fingerprint, OnTrial: r.onTrial, CompletedBefore: m.completions.Contains(r.fingerprint),
 		})
 	}
-	m.publishSuspects(m.suspects.RecordCrash(now, quarantine.NewCrashID(m.target.Instance), list))
+	m.publishSuspects(m.suspects.RecordCrash(now, quarantine.NewCrashID(m.target.Instance, m.target.Born), list))
 	for _, r := range runs {
 		if v, ok := m.suspects.Verdict(now, r.fingerprint).(quarantine.Quarantined); ok {
 			r.crashed = true
