Suspect only the known request when it crashes several targets at once

Found by reading the diff. A request that comes often may be running at two targets before the crash of the first is known. The requests beside it at the second were quarantined as well, and so were requests whose connection had been cut in the last 5 s while the process was found alive. A crash is put down to a request that is on trial or already quarantined, and such cut requests count only if the end of the process was missed (a heartbeat of the next one came first). TestSecondTargetCrashesAtOnce failed before.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -15,7 +15,8 @@
 // request runs at a time. A trial that completes clears the request, since a deadly request
 // never completes. A trial that ends with a crash proves the request guilty: the other
 // requests that the target was running are not suspected, and each such crash multiplies
-// the length of the quarantine.
+// the length of the quarantine. So does one during which a request was running that has been
+// quarantined since it was sent, as may be when it crashes several targets at once.
 //
 // # How the daemons agree
 //
@@ -242,8 +243,12 @@
 // RecordCrash records that a target's process ended at now while it was running runs. It
 // returns the suspects, as they are to be announced to the other daemons.
 func (l *List) RecordCrash(now time.Time, id CrashID, runs []Run) []Suspect {
-	if slices.ContainsFunc(runs, func(r Run) bool { return r.OnTrial }) {
-		runs = slices.DeleteFunc(slices.Clone(runs), func(r Run) bool { return !r.OnTrial })
+	explained := func(r Run) bool {
+		_, quarantined := l.Verdict(now, r.Fingerprint).(Quarantined)
+		return r.OnTrial || quarantined
+	}
+	if slices.ContainsFunc(runs, explained) {
+		runs = slices.DeleteFunc(slices.Clone(runs), func(r Run) bool { return !explained(r) })
 	}
 	var changed []Suspect
 	for _, r := range runs {
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -80,6 +80,17 @@
 	require.Equal(t, Quarantined{at(151)}, l.Verdict(at(31), print(1)))
 }
 
+// TestSecondTargetCrashesAtOnce checks that the requests beside one that another target has
+// crashed with a moment before are not suspected.
+func TestSecondTargetCrashesAtOnce(t *testing.T) {
+	l := NewList()
+	l.RecordCrash(at(0), 1, []Run{{Fingerprint: print(1)}, {Fingerprint: print(2)}})
+	l.RecordCrash(at(0.1), 2, []Run{{Fingerprint: print(1)}, {Fingerprint: print(3)}})
+	require.Equal(t, Quarantined{at(30.1)}, l.Verdict(at(1), print(1)))
+	require.Equal(t, Quarantined{at(30)}, l.Verdict(at(1), print(2)))
+	require.Equal(t, Clear{}, l.Verdict(at(1), print(3)))
+}
+
 // TestListsConverge merges the lists of several daemons in a random order and checks that
 // all end with the same one.
 func TestListsConverge(t *testing.T) {
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -451,6 +451,7 @@
 	}
 	m.log.Warn("target is down", "instance", m.target.Instance)
 	m.target.down = true
+	m.cutRuns = nil // this process has been found alive after them
 	m.recordTargetEnd(boottime.Now())
 	m.dropGrants()
 	m.notify()
