--- a/io/targetconn/targetconn.go
+++ b/io/targetconn/targetconn.go
@@ -83,6 +83,9 @@
 	// RequestID is the request ID that the response must carry. If it is empty, any
 	// response is accepted.
 	RequestID string
+	// NewConnection is set if the request is not sent on a connection that was used
+	// before: a late response to an earlier request could not be told from its own.
+	NewConnection bool
 }
 
 // Response is the HTTP response of a target. Its user must close Body. A Body
@@ -166,7 +169,7 @@
 // the whole exchange, including the body of the response. After a failure the error
 // is that of ctx if ctx has ended.
 func (c *Client) Do(ctx context.Context, req *Request) (*Response, *Error) {
-	cn, err := c.get(ctx, req.RequestID)
+	cn, err := c.get(ctx, req)
 	if err != nil {
 		return nil, &Error{Refused: errors.Is(err, syscall.ECONNREFUSED), Err: err}
 	}
@@ -195,10 +198,9 @@
 	return false
 }
 
-// get returns an idle connection that has no unread input and on which no request with the
-// ID requestID was refused, or opens a new one.
-func (c *Client) get(ctx context.Context, requestID string) (*conn, error) {
-	for cn := c.takeIdle(requestID); cn != nil; cn = c.takeIdle(requestID) {
+// get returns an idle connection for req that has no unread input, or opens a new one.
+func (c *Client) get(ctx context.Context, req *Request) (*conn, error) {
+	for cn := c.takeIdle(req); cn != nil; cn = c.takeIdle(req) {
 		if cn.withinIdleTimeout(time.Now()) && cn.hasNoInput() {
 			return cn, nil
 		}
@@ -212,13 +214,16 @@
 }
 
 // takeIdle removes the connection that became idle last from the idle ones and returns it,
-// or nil if there is none. It passes over those on which a request with the ID requestID was
+// or nil if there is none. It passes over those on which a request with the ID of req was
 // refused.
-func (c *Client) takeIdle(requestID string) *conn {
+func (c *Client) takeIdle(req *Request) *conn {
+	if req.NewConnection {
+		return nil
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for i, cn := range slices.Backward(c.idle) {
-		if !slices.Contains(cn.refusedIDs, requestID) {
+		if !slices.Contains(cn.refusedIDs, req.RequestID) {
 			c.idle = slices.Delete(c.idle, i, i+1)
 			return cn
 		}
--- a/io/targetconn/targetconn_test.go
+++ b/io/targetconn/targetconn_test.go
@@ -205,39 +205,57 @@
 
 func (failingReader) Read([]byte) (int, error) { return 0, errors.New("read failed") }
 
-// TestRepeatedRefusalIsTakenForTheNextAnswer lets a target write a refusal a second time, when
-// the same request comes again on the connection, before it answers that request.
-func TestRepeatedRefusalIsTakenForTheNextAnswer(t *testing.T) {
-	const refusal = "HTTP/1.1 503 Service Unavailable\r\nId: 1\r\nContent-Length: 0\r\n\r\n"
+// newScriptedTarget starts a target that sends scripts[i] on the connection number i: one
+// response for each request. It returns a Client of the target.
+func newScriptedTarget(t *testing.T, scripts ...[]string) *Client {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
 	go func() {
-		first := true
-		for {
+		for _, script := range scripts {
 			conn, err := l.Accept()
 			if err != nil {
 				return
 			}
-			responses := make(chan string, 2)
-			if first {
-				responses <- refusal
-				responses <- refusal + respOK("1", "a")
-			} else {
-				responses <- respOK("1", "a")
+			responses := make(chan string, len(script))
+			for _, response := range script {
+				responses <- response
 			}
-			first = false
 			go serveResponses(conn, responses)
 		}
 	}()
 	c := New(Config{Address: l.Addr().(*net.TCPAddr).AddrPort(), RequestIDHeader: "Id"})
 	t.Cleanup(c.Close)
-	body, err := fetch(c, "1")
-	require.NoError(t, err)
-	require.Empty(t, body)
-	body, err = fetch(c, "1")
-	require.NoError(t, err)
-	require.Equal(t, "a", body)
+	return c
+}
+
+// TestRepeatedRefusalIsTakenForTheNextAnswer lets a target write a refusal a second time, when
+// the same request comes again on the connection, before it answers that request.
+func TestRepeatedRefusalIsTakenForTheNextAnswer(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nId: 1\r\nContent-Length: 0\r\n\r\n"
+	c := newScriptedTarget(t, []string{refusal, refusal + respOK("1", "a")}, []string{respOK("1", "a")})
+	for _, want := range []string{"", "a"} {
+		body, err := fetch(c, "1")
+		require.NoError(t, err)
+		require.Equal(t, want, body)
+	}
+}
+
+// TestLateResponseIsTakenForTheNextCommand lets a target write the response to a request
+// without an ID a second time, before it answers the next one.
+func TestLateResponseIsTakenForTheNextCommand(t *testing.T) {
+	c := newScriptedTarget(t, []string{respOK("", "grant"), respOK("", "grant") + respOK("", "release")}, []string{respOK("", "release")})
+	for _, want := range []string{"grant", "release"} {
+		resp, err := c.Do(context.Background(), &Request{
+			Method: http.MethodGet, Path: "/", Host: "h", Header: http.Header{}, NewConnection: want == "release",
+		})
+		require.Nil(t, err)
+		body, readErr := io.ReadAll(resp.Body)
+		require.NoError(t, readErr)
+		require.NoError(t, resp.Body.Close())
+		require.Equal(t, want, string(body))
+	}
 }
 
 // TestAnswerCutWithinItsHead cuts a response after each of its bytes but the last.
