--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -20,8 +20,8 @@
 // at returns the time s seconds after start.
 func at(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
 
-// print returns the nth of a series of fingerprints.
-func print(n int) Fingerprint { return Fingerprint{Head: uint64(n), Body: uint64(n % 3)} }
+// nth returns the nth of a series of fingerprints.
+func nth(n int) Fingerprint { return Fingerprint{Head: uint64(n), Body: uint64(n % 3)} }
 
 // TestVerdict checks the verdict on a request after crashes and completions.
 func TestVerdict(t *testing.T) {
@@ -54,14 +54,14 @@
 			l := NewList()
 			for i, e := range row.events {
 				if e.completed {
-					l.RecordCompletion(print(1))
+					l.RecordCompletion(nth(1))
 					continue
 				}
-				e.run.Fingerprint = print(1)
+				e.run.Fingerprint = nth(1)
 				l.RecordCrash(at(e.at), CrashID(i), []Run{e.run})
 			}
 			l.Expire(at(row.at))
-			require.Equal(t, row.want, l.Verdict(at(row.at), print(1)))
+			require.Equal(t, row.want, l.Verdict(at(row.at), nth(1)))
 		})
 	}
 }
@@ -70,25 +70,25 @@
 // not suspected, and that no two trials of a request run at a time.
 func TestTrialExoneratesOthers(t *testing.T) {
 	l := NewList()
-	l.RecordCrash(at(0), 1, []Run{{Fingerprint: print(1)}})
-	require.True(t, l.BeginTrial(print(1)))
-	require.False(t, l.BeginTrial(print(1)))
-	l.RecordCrash(at(31), 2, []Run{{Fingerprint: print(2)}, {Fingerprint: print(1), OnTrial: true}})
-	l.EndTrial(print(1))
-	require.True(t, l.BeginTrial(print(1)))
-	require.Equal(t, Clear{}, l.Verdict(at(31), print(2)))
-	require.Equal(t, Quarantined{at(151)}, l.Verdict(at(31), print(1)))
+	l.RecordCrash(at(0), 1, []Run{{Fingerprint: nth(1)}})
+	require.True(t, l.BeginTrial(nth(1)))
+	require.False(t, l.BeginTrial(nth(1)))
+	l.RecordCrash(at(31), 2, []Run{{Fingerprint: nth(2)}, {Fingerprint: nth(1), OnTrial: true}})
+	l.EndTrial(nth(1))
+	require.True(t, l.BeginTrial(nth(1)))
+	require.Equal(t, Clear{}, l.Verdict(at(31), nth(2)))
+	require.Equal(t, Quarantined{at(151)}, l.Verdict(at(31), nth(1)))
 }
 
 // TestSecondTargetCrashesAtOnce checks that the requests beside one that another target has
 // crashed with a moment before are not suspected.
 func TestSecondTargetCrashesAtOnce(t *testing.T) {
 	l := NewList()
-	l.RecordCrash(at(0), 1, []Run{{Fingerprint: print(1)}, {Fingerprint: print(2)}})
-	l.RecordCrash(at(0.1), 2, []Run{{Fingerprint: print(1)}, {Fingerprint: print(3)}})
-	require.Equal(t, Quarantined{at(30.1)}, l.Verdict(at(1), print(1)))
-	require.Equal(t, Quarantined{at(30)}, l.Verdict(at(1), print(2)))
-	require.Equal(t, Clear{}, l.Verdict(at(1), print(3)))
+	l.RecordCrash(at(0), 1, []Run{{Fingerprint: nth(1)}, {Fingerprint: nth(2)}})
+	l.RecordCrash(at(0.1), 2, []Run{{Fingerprint: nth(1)}, {Fingerprint: nth(3)}})
+	require.Equal(t, Quarantined{at(30.1)}, l.Verdict(at(1), nth(1)))
+	require.Equal(t, Quarantined{at(30)}, l.Verdict(at(1), nth(2)))
+	require.Equal(t, Clear{}, l.Verdict(at(1), nth(3)))
 }
 
 // TestListsConverge merges the lists of several daemons in a random order and checks that
@@ -98,7 +98,7 @@
 		lists := []*List{NewList(), NewList(), NewList()}
 		for i := range rapid.IntRange(1, 30).Draw(t, "events") {
 			l := rapid.SampledFrom(lists).Draw(t, "daemon")
-			f := print(rapid.IntRange(0, 4).Draw(t, "request"))
+			f := nth(rapid.IntRange(0, 4).Draw(t, "request"))
 			switch rapid.IntRange(0, 2).Draw(t, "event") {
 			case 0:
 				l.RecordCrash(at(float64(i)), CrashID(i), []Run{{Fingerprint: f, CompletedBefore: i%2 == 0}})
@@ -118,7 +118,7 @@
 		for _, l := range lists[1:] {
 			require.Equal(t, lists[0].Digest(), l.Digest())
 			for n := range 5 {
-				require.Equal(t, lists[0].Verdict(at(31), print(n)), l.Verdict(at(31), print(n)))
+				require.Equal(t, lists[0].Verdict(at(31), nth(n)), l.Verdict(at(31), nth(n)))
 			}
 		}
 	})
@@ -128,13 +128,13 @@
 // checks that the list stays bounded and keeps the latter.
 func TestListIsBounded(t *testing.T) {
 	l := NewList()
-	l.RecordCrash(at(0), 1, []Run{{Fingerprint: print(0)}})
-	l.RecordCrash(at(31), 2, []Run{{Fingerprint: print(0), OnTrial: true}})
+	l.RecordCrash(at(0), 1, []Run{{Fingerprint: nth(0)}})
+	l.RecordCrash(at(31), 2, []Run{{Fingerprint: nth(0), OnTrial: true}})
 	for n := 1; n < 3*capacity; n++ {
-		l.RecordCrash(at(32), CrashID(n+2), []Run{{Fingerprint: print(n)}})
+		l.RecordCrash(at(32), CrashID(n+2), []Run{{Fingerprint: nth(n)}})
 	}
 	require.Equal(t, capacity, l.Len())
-	require.IsType(t, Quarantined{}, l.Verdict(at(40), print(0)))
+	require.IsType(t, Quarantined{}, l.Verdict(at(40), nth(0)))
 	l.Expire(at(10_000))
 	require.Zero(t, l.Len())
 	require.Empty(t, l.heads)
@@ -313,14 +313,14 @@
 		if p.downFor[i] == 0 && p.rng.Float64() < 0.3 {
 			f := Fingerprint{Head: p.rng.Uint64()}
 			if p.rng.IntN(10) == 0 {
-				f = print(p.rng.IntN(5) + 10)
+				f = nth(p.rng.IntN(5) + 10)
 			}
 			p.arrive(now, i, f, false)
 		}
 	}
 	p.moveKey()
 	if now >= playDeadlyAt && p.downFor[p.owner] == 0 && p.rng.Float64() < 0.07 {
-		p.arrive(now, p.owner, print(1), true)
+		p.arrive(now, p.owner, nth(1), true)
 	}
 }
 
--- a/io/mesh/admission.go
+++ b/io/mesh/admission.go
@@ -241,14 +241,14 @@
 	if err != nil {
 		return outcome.NotRun{Reason: outcome.Cancelled}, scheduling.Unused
 	}
-	print, body, err := fingerprint(ctx, head, body)
+	content, body, err := fingerprint(ctx, head, body)
 	switch {
 	case errors.Is(err, context.DeadlineExceeded):
 		return outcome.NotRun{Reason: outcome.DeadlinePast}, scheduling.Unused
 	case err != nil:
 		return outcome.NotRun{Reason: outcome.Cancelled}, scheduling.Unused
 	}
-	r := &run{head: head, fingerprint: print}
+	r := &run{head: head, fingerprint: content}
 	if refusal := m.startRun(r, key, divided, times); refusal != nil {
 		return refusal, scheduling.Unused
 	}
