Answer an upload whose body stalls at its deadline

Found by reading the diff: reading the start of a body may wait for the caller. At the daemon beside the target, the read went on when the deadline had passed, and net/http sends no response while a body is being read, so that the caller got none. The body's read is interrupted when the request's time is over.

--- a/io/mesh/ingress.go
+++ b/io/mesh/ingress.go
@@ -83,7 +83,7 @@
 	case b.Data == nil:
 		return &forward.Body{Stream: b.Stream, Abort: b.Abort}
 	case len(b.Data) <= peer.InlineBytes:
-		return &forward.Body{Inline: b.Data, IsInline: true}
+		return &forward.Body{Inline: b.Data, IsInline: true, Abort: func() {}}
 	default:
 		return &forward.Body{Stream: bytes.NewReader(b.Data), Abort: func() {}}
 	}
@@ -387,6 +387,8 @@
 	body := c.req.Body.forAttempt()
 	defer func() { c.bodyConsumed = body.Consumed && c.req.Body.Data == nil }()
 	if addr == m.cfg.Self {
+		// A read that goes on would hold the response back.
+		defer context.AfterFunc(ctx, body.Abort)()
 		return m.runRequest(ctx, c.head, &localExchange{Sink: c.sink, body: body})
 	}
 	head := *c.head
--- a/standin/meshfleet/meshfleet.go
+++ b/standin/meshfleet/meshfleet.go
@@ -313,6 +313,11 @@
 	return nil
 }
 
+// CallerAddress returns the address at which the VM's daemon takes requests of callers.
+func (vm *VM) CallerAddress() netip.AddrPort {
+	return netip.AddrPortFrom(vm.ip, vm.fleet.ports.caller)
+}
+
 // Pid returns the process id of the VM's daemon. The daemon must have been started.
 func (vm *VM) Pid() int { return vm.daemon.Process.Pid }
 
