--- a/core/quarantine/fingerprint.go
+++ b/core/quarantine/fingerprint.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"strings"
 
 	"siskinknot/core/request"
 )
@@ -29,12 +28,13 @@
 
 // HashHead returns the Head of the fingerprint of the request head.
 func HashHead(head *request.Head) uint64 {
-	var b strings.Builder
-	for _, field := range []string{head.Method, head.Header.Get("Host"), head.Path, head.Key, head.Caller} {
-		fmt.Fprintf(&b, "%d:", len(field)) // so that no two lists of fields have the same encoding
-		b.WriteString(field)
+	var buf [256]byte // enough for most requests
+	data := buf[:0]
+	for _, field := range [...]string{head.Method, head.Header.Get("Host"), head.Path, head.Key, head.Caller} {
+		data = binary.AppendUvarint(data, uint64(len(field))) // so that no two lists of fields have the same encoding
+		data = append(data, field...)
 	}
-	return hash([]byte(b.String()))
+	return hash(data)
 }
 
 // HashBody returns the Body of the fingerprint of a request whose body begins with prefix.
--- a/io/mesh/ingress.go
+++ b/io/mesh/ingress.go
@@ -118,8 +118,10 @@
 	// divided is set if the service is divided; key is then the request's key.
 	divided bool
 	key     uint16
+	// headHash is the hash of the request without its body, or 0 if it was not needed.
 	// fingerprint is set once the request may be a suspect, and onTrial if it is one
 	// whose quarantine is over.
+	headHash    uint64
 	fingerprint quarantine.Fingerprint
 	onTrial     bool
 	// bodyConsumed is set once a body that can be read only once has been read.
--- a/io/mesh/suspects.go
+++ b/io/mesh/suspects.go
@@ -59,24 +59,30 @@
 // fingerprintSuspect sets the fingerprint of c if it may be one of a suspect, and reports
 // whether it may. The error is set if the start of the body does not arrive.
 func (m *Mesh) fingerprintSuspect(ctx context.Context, c *call) (bool, error) {
-	m.mu.Lock()
-	none := m.suspects.Len() == 0
-	m.mu.Unlock()
-	if none {
+	if !m.hasSuspects() {
 		return false, nil
 	}
-	head := quarantine.HashHead(c.head)
+	if c.headHash == 0 {
+		c.headHash = quarantine.HashHead(c.head)
+	}
 	m.mu.Lock()
-	known := m.suspects.HasHead(head)
+	known := m.suspects.HasHead(c.headHash)
 	m.mu.Unlock()
-	if !known || c.fingerprint.Head == head {
+	if !known || c.fingerprint.Head == c.headHash {
 		return known, nil
 	}
 	prefix, err := c.req.Body.peek(ctx)
-	c.fingerprint = quarantine.Fingerprint{Head: head, Body: quarantine.HashBody(prefix)}
+	c.fingerprint = quarantine.Fingerprint{Head: c.headHash, Body: quarantine.HashBody(prefix)}
 	return true, err
 }
 
+// hasSuspects reports whether any request is known as a suspect.
+func (m *Mesh) hasSuspects() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.suspects.Len() > 0
+}
+
 // peek returns the start of the body without consuming it.
 func (b *Body) peek(ctx context.Context) ([]byte, error) {
 	if b.Data != nil {
