--- a/review/harness/exitatwork.go
+++ b/review/harness/exitatwork.go
@@ -11,14 +11,14 @@
 
 const (
 	// checkInsLateBy is how late the check-ins of a leaving server arrive: "seconds late".
-	checkInsLateBy = 3 * time.Second
+	checkInsLateBy = 4 * time.Second
 	// exitsAfter is how long after its first report a server that gets no ack exits:
 	// "some seconds later".
-	exitsAfter = 2 * time.Second
+	exitsAfter = 3 * time.Second
 )
 
 // exitAtWork lets servers of the sharded service leave, one after the other. Each reports
-// draining; its check-ins arrive 3 s late, so that it gets no ack and exits anyway after 2 s: it
+// draining; its check-ins arrive 4 s late, so that it gets no ack and exits anyway after 3 s: it
 // accepts no more connections, completes the requests that it is running, and ends.
 func exitAtWork(start func() (*fleet, error), trouble bool) ([]string, error) {
 	f, err := start()
