review: give each listener of the stand-ins a port of its own

A run of case 1 could not run: its fleet did not serve. Two listeners might have been given the same port; that this was the cause is not shown.

--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -126,15 +126,24 @@
 
 func (f *fleet) ip(i int) string { return fmt.Sprintf("127.%d.%d.%d", f.net[0], f.net[1], i+1) }
 
+// freePort returns a port that is free on ip and was not returned before. It is below the ports that
+// the kernel gives to outgoing connections.
 func freePort(ip string) int {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		panic(err)
+	for {
+		port := 20000 + rand.Intn(12000)
+		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		if _, taken := givenPorts.LoadOrStore(port, true); !taken {
+			return port
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).Port
 }
 
+var givenPorts sync.Map
+
 // publish writes the next version of the config.
 func (f *fleet) publish(routes ...routeSpec) {
 	f.version += 3
