Report a response that was reset during its upload as truncated

What callers got: a target that answers a long upload at once with a 200 without a length, sends part of the body and resets the connection looked complete. Statuses 101, 600 and 999 were passed on (TestResponses failed for them); 000 and 099 ended with an error only because what followed could not be parsed.

Cause: the kernel reports a reset once. If the write of the upload gets it, the read of a response that ends with its connection gets an end of file.

Change: such an end counts only if the request was written without an error, or if the kernel says that the target has closed the connection. A status below 100 or above 599, and 101, is an error.

--- a/io/targetconn/targetconn.go
+++ b/io/targetconn/targetconn.go
@@ -63,6 +63,8 @@
 	// Parsed headers take several times their size, for each request in progress.
 	maxHeadBytes     = 32 << 10
 	maxInformational = 16
+	// maxStatus is the highest status code of a response.
+	maxStatus = 599
 	// bufferBytes is the size of the read buffer of a connection.
 	bufferBytes = 4 << 10
 	// maxRefusedIDs is the number of refused requests after which a connection is closed.
@@ -385,8 +387,10 @@
 	// stopCancel detaches the connection from the context. It returns false if the
 	// end of the context has already aborted the connection.
 	stopCancel func() bool
-	// bodyWritten receives the result of writing the request body.
+	// bodyWritten receives the result of writing the request body. requestWritten moves it
+	// to written.
 	bodyWritten chan error
+	written     bool
 }
 
 // run writes the request and reads the headers of its response. A large request body
@@ -492,8 +496,9 @@
 	return err
 }
 
-// readHead reads the headers of a response. It ignores informational responses
-// (1xx).
+// readHead reads the headers of a response. It ignores informational responses (1xx), but
+// not 101, after which the connection would carry another protocol. A status that is none of
+// HTTP (RFC 9110, section 15) is an error.
 func (x *exchange) readHead() (*http.Response, error) {
 	x.conn.head.limited = true
 	defer func() { x.conn.head.limited = false }()
@@ -502,7 +507,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= http.StatusOK {
+		switch {
+		case resp.StatusCode < http.StatusContinue, resp.StatusCode > maxStatus, resp.StatusCode == http.StatusSwitchingProtocols:
+			return nil, fmt.Errorf("response has status %q", resp.Status)
+		case resp.StatusCode >= http.StatusOK:
 			return resp, nil
 		}
 	}
@@ -537,7 +545,7 @@
 		Status:        resp.StatusCode,
 		Header:        resp.Header,
 		ContentLength: resp.ContentLength,
-		Body:          &responseBody{x: x, in: resp.Body, reuse: delimited && !resp.Close},
+		Body:          &responseBody{x: x, in: resp.Body, delimited: delimited, reuse: delimited && !resp.Close},
 		exchange:      x,
 	}
 }
@@ -560,6 +568,9 @@
 type responseBody struct {
 	x  *exchange
 	in io.ReadCloser
+	// delimited is set if the response states where its body ends. Otherwise the body ends
+	// with the connection.
+	delimited bool
 	// reuse is set if the length of the body is delimited and the target keeps the
 	// connection open.
 	reuse  bool
@@ -571,12 +582,36 @@
 // Read implements io.Reader.
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.in.Read(p)
-	if errors.Is(err, io.EOF) {
-		b.reachedEOF = true
+	if !errors.Is(err, io.EOF) {
+		return n, err
 	}
+	if !b.delimited && !b.x.closedInOrder() {
+		return n, io.ErrUnexpectedEOF
+	}
+	b.reachedEOF = true
 	return n, err
 }
 
+// closedInOrder reports whether an end of file on the connection means that the target has
+// closed it. The kernel reports a reset only once, so that after one which a write of the
+// request body has reported, a read returns an end of file as well.
+func (x *exchange) closedInOrder() bool {
+	if x.requestWritten() {
+		return true // no write has failed
+	}
+	rawConn, err := x.conn.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	const closeWait = 8 // TCP_CLOSE_WAIT in Linux: the peer has closed the connection, and not reset it
+	inOrder := false
+	err = rawConn.Control(func(fd uintptr) {
+		info, infoErr := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		inOrder = infoErr == nil && info.State == closeWait
+	})
+	return err == nil && inOrder
+}
+
 // Close ends the exchange. The connection is reused if the response was read to its
 // end, the request was written completely and not refused before its body was read, ctx
 // has not ended, and no further input has arrived. Otherwise it is closed.
@@ -594,12 +629,13 @@
 	return b.x.conn.Close()
 }
 
-// requestWritten reports whether the request was written completely.
+// requestWritten reports whether the request was written completely. It is called by the
+// user of the response's body, one call at a time.
 func (x *exchange) requestWritten() bool {
 	select {
 	case err := <-x.bodyWritten:
-		return err == nil
+		x.written = err == nil
 	default:
-		return false
 	}
+	return x.written
 }
--- a/io/targetconn/targetconn_test.go
+++ b/io/targetconn/targetconn_test.go
@@ -110,6 +110,14 @@
 		{"body without a length", []string{"HTTP/1.1 200 OK\r\nId: 1\r\n\r\nabcCLOSE", respOK("2", "b")}, []string{"abc", "b"}, 2},
 		{"Connection: close", []string{"HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\nContent-Length: 1\r\n\r\na", respOK("2", "b")}, []string{"a", "b"}, 2},
 		{"idle timeout of 0", []string{"HTTP/1.1 200 OK\r\nId: 1\r\nKeep-Alive: timeout=0\r\nContent-Length: 1\r\n\r\na", respOK("2", "b")}, []string{"a", "b"}, 2},
+		{"status 000", []string{"HTTP/1.1 000 Trouble\r\nId: 1\r\nContent-Length: 1\r\n\r\na" + respOK("1", "b")}, []string{"!"}, 1},
+		{"status 099", []string{"HTTP/1.1 099 Trouble\r\nId: 1\r\nContent-Length: 1\r\n\r\na" + respOK("1", "b")}, []string{"!"}, 1},
+		{"status 101", []string{"HTTP/1.1 101 Switching Protocols\r\nId: 1\r\n\r\n" + respOK("1", "b")}, []string{"!"}, 1},
+		{"status 600", []string{"HTTP/1.1 600 Trouble\r\nId: 1\r\nContent-Length: 1\r\n\r\na"}, []string{"!"}, 1},
+		{"status 999", []string{"HTTP/1.1 999 Trouble\r\nId: 1\r\nContent-Length: 1\r\n\r\na"}, []string{"!"}, 1},
+		{"status of two digits", []string{"HTTP/1.1 20 OK\r\nId: 1\r\nContent-Length: 1\r\n\r\na"}, []string{"!"}, 1},
+		{"status of four digits", []string{"HTTP/1.1 2000 OK\r\nId: 1\r\nContent-Length: 1\r\n\r\na"}, []string{"!"}, 1},
+		{"status with a sign", []string{"HTTP/1.1 +20 OK\r\nId: 1\r\nContent-Length: 1\r\n\r\na"}, []string{"!"}, 1},
 		{"informational response first", []string{"HTTP/1.1 103 Early Hints\r\n\r\n" + respOK("1", "a")}, []string{"a"}, 1},
 	} {
 		t.Run(row.name, func(t *testing.T) {
