Reset the connection of an HTTP/1.0 caller whose response is cut off

What callers got: a caller of HTTP/1.0 takes the end of the connection for the end of a response without a length, so a response that the target cut off looked complete (TestTruncatedResponses, one of four cases failed).

Change: the connection ends with a reset in this case. HTTP/1.1 callers see a missing last chunk or a short body as before.

--- a/io/pipeline/pipeline.go
+++ b/io/pipeline/pipeline.go
@@ -105,6 +105,19 @@
 	return len(c.early) > 0
 }
 
+// ResetOnClose makes the connection of the request with context ctx end with a reset. A
+// client of HTTP/1.0 takes the end of the connection for the end of a response that states no
+// length, so that a truncated one would look complete.
+func ResetOnClose(ctx context.Context) {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	if !ok {
+		return
+	}
+	if tcpConn, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcpConn.SetLinger(0)
+	}
+}
+
 // arrivalKey is the key of the time of arrival in the context of a request.
 type arrivalKey struct{}
 
