Release the slot of a request when its answer has arrived

What callers got: while a caller read its answer slowly, its request kept a slot of the target that had long ended it, and counted as running there, so that other requests were rejected at an idle target and innocent ones were suspects when it crashed. The memory that such answers take was not bounded.

Change: the slot, the connection and the entry among the running requests are released when the answer has arrived, before it is forwarded.

--- a/io/mesh/admission.go
+++ b/io/mesh/admission.go
@@ -1,10 +1,8 @@
 package mesh
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -14,17 +12,12 @@
 	"siskinknot/core/scheduling"
 	"siskinknot/io/boottime"
 	"siskinknot/io/forward"
-	"siskinknot/io/targetconn"
 )
 
 const (
 	// grantWait is the longest time that a request waits at its owner for a
 	// grant of its key: about the duration of a transfer.
 	grantWait = 300 * time.Millisecond
-	// maxBufferedAnswer is the largest body, in bytes, that is read completely
-	// before it is forwarded. If the target's connection breaks during such an
-	// answer, no part of it has been forwarded.
-	maxBufferedAnswer = 64 << 10
 	// drainMargin is how long before the end of DrainTime a leaving target
 	// receives its last request.
 	drainMargin = 300 * time.Millisecond
@@ -120,17 +113,9 @@
 	started := boottime.Now()
 	times.admittedAt = started
 	permit.MarkSent(started)
-	res, use := m.sendToTarget(ctx, head, ex, key, divided, times)
-	ended := boottime.Now()
-	permit.Done(ended, use)
-	if use == scheduling.Served {
-		m.mu.Lock()
-		m.demand.RecordServed(head.Class, ended.Sub(started))
-		if divided && times.targetWarm {
-			m.serviceTimes.Add(ended.Sub(started), times.cutOff(ended, res))
-		}
-		m.mu.Unlock()
-	}
+	slot := &usedSlot{mesh: m, permit: permit, head: head, divided: divided, startedAt: started, times: times}
+	res, use := m.sendToTarget(ctx, head, ex, key, divided, slot)
+	slot.release(boottime.Now(), res, use)
 	return res
 }
 
@@ -232,7 +217,7 @@
 // sendToTarget sends a request that holds a slot to the target, if the target
 // still holds the request's key.
 func (m *Mesh) sendToTarget(
-	ctx context.Context, head *request.Head, ex forward.Exchange, key uint16, divided bool, times *requestTimes,
+	ctx context.Context, head *request.Head, ex forward.Exchange, key uint16, divided bool, slot *usedSlot,
 ) (outcome.Result, scheduling.SlotUse) {
 	if refusal := m.sendRefusal(boottime.Now(), head, key, divided); refusal != nil {
 		return refusal, scheduling.Unused
@@ -249,7 +234,7 @@
 		return outcome.NotRun{Reason: outcome.Cancelled}, scheduling.Unused
 	}
 	r := &run{head: head, fingerprint: content}
-	if refusal := m.startRun(r, key, divided, times); refusal != nil {
+	if refusal := m.startRun(r, key, divided, slot.times); refusal != nil {
 		return refusal, scheduling.Unused
 	}
 	resp, notice, res := m.targetClient.Send(ctx, head, body, r.process.instance)
@@ -262,7 +247,16 @@
 	if noticeSink, ok := ex.(forward.NoticeSink); ok && notice != nil && (notice.Limited || notice.Leaving) {
 		noticeSink.Notice(notice)
 	}
-	return m.endRun(ctx, r, m.deliverAnswer(resp, ex)), scheduling.Served
+	received := false
+	res = m.deliverAnswer(resp, ex, func(answered outcome.Result) {
+		received = true
+		m.endRun(ctx, r, answered)
+		slot.release(boottime.Now(), answered, scheduling.Served)
+	})
+	if !received {
+		res = m.endRun(ctx, r, res)
+	}
+	return res, scheduling.Served
 }
 
 // sendRefusal returns why a request that holds a slot may not be sent to the target at
@@ -334,44 +328,3 @@
 	}
 	return res, scheduling.Unused
 }
-
-// deliverAnswer forwards an answer to ex.
-func (m *Mesh) deliverAnswer(resp *targetconn.Response, ex forward.Exchange) outcome.Result {
-	defer func() { _ = resp.Body.Close() }()
-	prefix, err := readPrefix(resp)
-	if err != nil {
-		return outcome.Unknown{Reason: outcome.ConnectionCut}
-	}
-	length := resp.ContentLength
-	if len(prefix) <= maxBufferedAnswer {
-		length = int64(len(prefix))
-	}
-	if ex.Head(resp.Status, resp.Header, length) != nil || ex.Write(prefix) != nil {
-		return outcome.Unknown{Reason: outcome.Cancelled}
-	}
-	if len(prefix) <= maxBufferedAnswer {
-		return outcome.Answered{Status: resp.Status}
-	}
-	buf := make([]byte, 16<<10)
-	for {
-		n, err := resp.Body.Read(buf)
-		if n > 0 && ex.Write(buf[:n]) != nil {
-			return outcome.Unknown{Reason: outcome.Cancelled}
-		}
-		if errors.Is(err, io.EOF) {
-			break
-		}
-		if err != nil {
-			return outcome.Unknown{Reason: outcome.ConnectionCut}
-		}
-	}
-	return outcome.Answered{Status: resp.Status}
-}
-
-// readPrefix reads up to maxBufferedAnswer+1 bytes of the body of an answer.
-func readPrefix(resp *targetconn.Response) ([]byte, error) {
-	size := min(max(resp.ContentLength, 0), maxBufferedAnswer) + bytes.MinRead
-	body := bytes.NewBuffer(make([]byte, 0, size))
-	_, err := body.ReadFrom(io.LimitReader(resp.Body, maxBufferedAnswer+1))
-	return body.Bytes(), err
-}
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -233,6 +233,8 @@
 	decodeConfig func([]byte) (*routing.Table, error)
 	// startedAt is when this process started.
 	startedAt time.Time
+	// answers counts the memory of the answers that are being forwarded.
+	answers answerMemory
 	// commitMu is held while a change of the directory is being committed, and
 	// snapshotMu while the whole directory is being encoded for another daemon.
 	commitMu, snapshotMu sync.Mutex
--- a/io/mesh/metrics.go
+++ b/io/mesh/metrics.go
@@ -36,7 +36,11 @@
 	// sentBeyondLimit counts the requests that were sent to the target while their
 	// rate exceeded the limit that the target names. targetLimit and sentRate are that
 	// limit and rate.
-	sentBeyondLimit       *counter
+	sentBeyondLimit *counter
+	// answersUnbuffered counts the answers that were forwarded in parts because the memory
+	// for answers was used up, and answerBytes is how much of it is used.
+	answersUnbuffered     *counter
+	answerBytes           tally.Gauge
 	targetLimit, sentRate tally.Gauge
 	// targetCrashes counts the times that the target's process ended, without having
 	// announced it, while it ran requests.
@@ -75,6 +79,8 @@
 		lateOrFailed:      newCounter(scope, "requests_late_or_failed"),
 		latency:           scope.Histogram("request_time", buckets),
 		sentBeyondLimit:   newCounter(scope, "target_requests_beyond_limit"),
+		answersUnbuffered: newCounter(scope, "answers_unbuffered"),
+		answerBytes:       scope.Gauge("answer_bytes"),
 		targetLimit:       scope.Gauge("target_limit_per_second"),
 		targetCrashes:     newCounter(scope, "target_crashes"),
 		suspects:          scope.Gauge("suspects"),
--- a/io/mesh/usage.go
+++ b/io/mesh/usage.go
@@ -67,6 +67,7 @@
 		members, ranges, holdings := len(m.dir.Members()), m.dir.RangeCount(), len(m.holdings)
 		m.mu.Unlock()
 		sessions := m.pool.Sessions()
+		c.answerBytes.Update(float64(m.answers.used.Load()))
 		c.goroutines.Update(float64(goroutines))
 		c.ranges.Update(float64(ranges))
 		c.sessions.Update(float64(sessions))
