Keep requests away from evacuated zones

The operator's records evacuate/ZONE had no effect: requests reached targets of the zone until their VMs were gone. The watch of the operator's topic now reads the records, heartbeats and their replies carry the set between daemons, and the daemon beside a target of an evacuated zone sends it nothing new, reports that it accepts nothing, and gives its keys to owners in other zones. Ingress daemons choose targets in other zones, retry a request that is rejected as evacuated without using the retry budget, and reject it at once if no zone is left.

--- a/cmd/siskinknot/mesh.go
+++ b/cmd/siskinknot/mesh.go
@@ -203,7 +203,7 @@
 		DecodeConfig: platform.DecodeConfig,
 	})
 	n.peerServer = peer.NewServer(l.peers, cfg.Server, n.mesh, log.Named("peer"))
-	n.watch = platform.WatchConfig(store, n.mesh.Configure, log.Named("config"))
+	n.watch = platform.WatchOperator(store, n.mesh.Configure, n.mesh, log.Named("config"))
 	n.serve(l)
 	return n, nil
 }
--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -81,6 +81,7 @@
 	Overloaded    Reason = "overloaded"     // the queue is too long for the request to end in time
 	QueueFull     Reason = "queue_full"     // the queue holds too many requests
 	Draining      Reason = "draining"       // the daemon or its target is about to leave the fleet
+	Evacuated     Reason = "evacuated"      // the operator has evacuated the zone of the target
 	Shed          Reason = "shed"           // the target refused the request and did not run it
 	DeadlinePast  Reason = "deadline_past"  // the deadline passed before the request was sent
 	Duplicate     Reason = "duplicate"      // the request id was seen before
--- a/io/mesh/admission.go
+++ b/io/mesh/admission.go
@@ -150,6 +150,9 @@
 	case m.draining:
 		return 0, false, outcome.NotRun{Reason: outcome.Draining}
 	}
+	if refusal := m.zoneRefusal(now); refusal != nil {
+		return 0, false, refusal
+	}
 	divided = m.divided()
 	if refusal := m.leavingRefusal(now, divided); refusal != nil || !divided {
 		return 0, divided, refusal
@@ -275,6 +278,9 @@
 
 // sendRefusalLocked is sendRefusal for callers that hold the mutex.
 func (m *Mesh) sendRefusalLocked(now time.Time, head *request.Head, key uint16, divided bool) outcome.Result {
+	if refusal := m.zoneRefusal(now); refusal != nil {
+		return refusal
+	}
 	refusal := m.leavingRefusal(now, divided)
 	if divided && refusal == nil {
 		refusal = m.ownershipRefusal(now, key)
--- a/io/mesh/grants_test.go
+++ b/io/mesh/grants_test.go
@@ -11,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"siskinknot/core/directory"
+	"siskinknot/core/evacuation"
 	"siskinknot/core/placement"
 	"siskinknot/core/quarantine"
 	"siskinknot/core/retry"
@@ -46,6 +47,7 @@
 		scheduler: scheduling.New(1),
 		delivery:  callDelivery{},
 
+		evacuation:  evacuation.NewState(time.Time{}),
 		fenceRaises: map[uint16]backoff{},
 		running:     map[*run]struct{}{},
 		attempts:    map[*attempt]struct{}{},
--- a/io/mesh/heartbeat.go
+++ b/io/mesh/heartbeat.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"siskinknot/core/directory"
+	"siskinknot/core/evacuation"
 	"siskinknot/core/placement"
 	"siskinknot/core/tenure"
 	"siskinknot/io/boottime"
@@ -46,6 +47,7 @@
 		load := m.ownLoad(now)
 		me := m.dir.Member(m.cfg.Self)
 		msg := &peerpb.Heartbeat{From: m.cfg.Self.String(), DirectoryEnd: m.dir.Version(), Load: load, StoreOk: m.storeOK, StoreEra: m.storeEra.Load()}
+		msg.Evacuations = m.evacuationsToSend()
 		if m.table != nil {
 			msg.ConfigVersion = m.table.Version
 		}
@@ -131,6 +133,7 @@
 	now := boottime.Now()
 	m.observeEra(now, reply.StoreEra)
 	m.mu.Lock()
+	m.mergeEvacuations(now, addr.String(), reply.Evacuations)
 	m.leases.RecordHeartbeat(now, addr)
 	m.leases.RecordConfirmation(now, addr, reply.NextOffset)
 	if msg.Renew && reply.Granted {
@@ -152,11 +155,13 @@
 	m.observeEra(now, hb.StoreEra)
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.mergeEvacuations(now, hb.From, hb.Evacuations)
 	m.leases.RecordHeartbeat(now, from)
 	m.receivedHeartbeats[from] = peerHeartbeat{receivedAt: now, storeOK: hb.StoreOk}
 	m.recordReport(now, from, hb.Load)
 	m.leases.RecordConfirmation(now, from, hb.DirectoryEnd)
 	reply := &peerpb.Reply{NextOffset: m.dir.Version(), StoreEra: m.storeEra.Load(), SuspectsDigest: m.suspects.Digest()}
+	reply.Evacuations = m.evacuationsInReply(hb.Evacuations)
 	if m.table != nil {
 		reply.SettingsVersion = m.table.Version
 	}
@@ -202,7 +207,7 @@
 func (m *Mesh) ownLoad(now time.Time) *peerpb.TargetLoad {
 	load := m.scheduler.Load()
 	return &peerpb.TargetLoad{
-		Accepting: m.target.accepting() && !m.leaving,
+		Accepting: m.target.accepting() && !m.leaving && m.evacuation.Verdict(now, m.cfg.Zone) == evacuation.Serve,
 		Cold:      now.Before(m.target.coldUntil),
 		Slots:     uint32(max(m.target.Slots, 0)),
 		Demand:    m.demand.PerSecond(now),
@@ -214,15 +219,18 @@
 }
 
 // loadsOf returns the recent load reports of a service's members, including
-// this one. The caller holds the mutex.
+// this one. Those in evacuated zones accept no keys, also if they have not learned
+// that yet. The caller holds the mutex.
 func (m *Mesh) loadsOf(now time.Time, service string) []placement.Load {
 	m.recordReport(now, m.cfg.Self, m.ownLoad(now))
+	evacuated := m.evacuation.Current()
 	var list []placement.Load
 	for _, member := range m.dir.MembersOf(service) {
 		r, ok := m.reports[member.Address]
 		if !ok || now.Sub(r.receivedAt) > maxReportAge+m.heartbeatRotationTime() || member.State != directory.Active {
 			continue
 		}
+		r.Accepting = r.Accepting && !evacuated.Contains(member.Zone)
 		list = append(list, r.Load)
 	}
 	return list
--- a/io/mesh/ingress.go
+++ b/io/mesh/ingress.go
@@ -115,6 +115,10 @@
 	// shared service that were tried.
 	attempts     int
 	triedTargets []netip.AddrPort
+	// avoidedZones has the zones whose members have rejected the request because the zone is
+	// evacuated. allEvacuated is set if no member of the service is left in another zone.
+	avoidedZones []string
+	allEvacuated bool
 	// divided is set if the service is divided; key is then the request's key.
 	divided bool
 	key     uint16
@@ -225,6 +229,9 @@
 		if retry.OwnerUnavailable(res) && now.After(ownerWaitEnd) && m.ownerOf(c) == previousOwner {
 			return m.withRetryAfter(c, res)
 		}
+		if c.allEvacuated {
+			return m.withRetryAfter(c, res)
+		}
 		if c.divided && reasonOf(res) == outcome.Overloaded {
 			return res // a divided service has no other target for the key
 		}
@@ -290,6 +297,11 @@
 	switch notRun.Reason {
 	case outcome.NotOwner, outcome.NoOwner:
 		notRun.RetryAfter = moveRetryAfter
+	case outcome.Evacuated:
+		notRun.RetryAfter = moveRetryAfter
+		if c.allEvacuated {
+			notRun.RetryAfter = lossRetryAfter
+		}
 	case outcome.Unreachable, outcome.NoLease, outcome.Draining, outcome.Fenced:
 		notRun.RetryAfter = lossRetryAfter
 	default:
@@ -303,6 +315,9 @@
 	if !c.divided {
 		return m.sendToShared(ctx, c)
 	}
+	if refusal := m.evacuatedOwnerRefusal(c); refusal != nil {
+		return refusal
+	}
 	a := m.beginAttempt(ctx, c)
 	if a == nil {
 		return outcome.NotRun{Reason: outcome.NoOwner}
@@ -315,6 +330,9 @@
 func (m *Mesh) sendToShared(ctx context.Context, c *call) outcome.Result {
 	now := boottime.Now()
 	candidates, local := m.candidates(now, c)
+	if c.allEvacuated {
+		return outcome.NotRun{Reason: outcome.Evacuated}
+	}
 	if len(candidates) == 0 {
 		return outcome.NotRun{Reason: outcome.NoOwner}
 	}
@@ -331,6 +349,9 @@
 	c.triedTargets = append(c.triedTargets, addr)
 	res := m.sendTo(ctx, ctx, addr, c)
 	ended := boottime.Now()
+	if reasonOf(res) == outcome.Evacuated {
+		m.avoidZoneOf(c, addr)
+	}
 	_, answered := res.(outcome.Answered)
 	chooser.Done(ended, chosen, ended.Sub(now), answered || reasonOf(res) == outcome.Cancelled)
 	return res
@@ -338,15 +359,21 @@
 
 // candidates returns the targets that a request to a shared service may be sent
 // to, and those of them in this zone that have free slots. Targets that were
-// tried already are returned only if there are no others.
+// tried already are returned only if there are no others, and targets in evacuated
+// zones never: if only such are left, that is set in c.
 func (m *Mesh) candidates(now time.Time, c *call) (all, local []netip.AddrPort) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.recordReport(now, m.cfg.Self, m.ownLoad(now))
 	limit := maxReportAge + m.heartbeatRotationTime()
+	evacuated, excluded := m.evacuation.Current(), 0
 	var alreadyTried []netip.AddrPort
 	var loads []placement.Load
 	for _, member := range m.dir.MembersOf(c.head.Service) {
+		if evacuated.Contains(member.Zone) || slices.Contains(c.avoidedZones, member.Zone) {
+			excluded++
+			continue
+		}
 		r, known := m.reports[member.Address]
 		if (known && (!r.Accepting || now.Sub(r.receivedAt) > limit)) || !m.reachable(member, r.receivedAt) {
 			continue
@@ -361,6 +388,7 @@
 			local = append(local, member.Address)
 		}
 	}
+	c.allEvacuated = excluded > 0 && len(all)+len(alreadyTried) == 0
 	if c.onTrial {
 		return trialTarget(slices.Concat(alreadyTried, all), c.fingerprint), nil
 	}
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -34,11 +34,13 @@
 // The owner's daemon admits the request and sends it to its target (admission.go). Targets
 // state limits and their shutdown in answers (notice.go); peernotices.go keeps what the
 // targets of other daemons stated. Requests that may crash targets are known from the ends
-// of targets (running.go), agreed among the daemons, and rejected (suspects.go).
+// of targets (running.go), agreed among the daemons, and rejected (suspects.go). Zones that the
+// operator evacuates get no requests (evacuation.go).
 //
-// The interfaces Store and Target hide the platform. The target's heartbeats and
-// the operator's configuration are passed in through TargetHeartbeat, TargetExiting
-// and Configure.
+// The interfaces Store and Target hide the platform. The target's heartbeats, the
+// operator's configuration and the operator's records of evacuated zones are passed in
+// through TargetHeartbeat, TargetExiting, Configure, ApplyEvacuationSnapshot and
+// ApplyEvacuationRecords.
 //
 // # Usage
 //
@@ -66,6 +68,7 @@
 	"siskinknot/core/balance"
 	"siskinknot/core/decay"
 	"siskinknot/core/directory"
+	"siskinknot/core/evacuation"
 	"siskinknot/core/grantsync"
 	"siskinknot/core/outcome"
 	"siskinknot/core/placement"
@@ -243,6 +246,9 @@
 	eraMu      sync.Mutex
 	eraKnownAt time.Time
 
+	// evacuation has the evacuated zones. It is changed only while mu is held.
+	evacuation *evacuation.State
+
 	mu     sync.Mutex
 	dir    *directory.Directory
 	leases *tenure.LeaseTable
@@ -316,7 +322,7 @@
 	storeOK bool
 	// transfers counts the transfers of keys to other members that are in
 	// progress. evacuating is set while no grant may be renewed because all
-	// keys are to be transferred.
+	// keys are to be transferred: the target is leaving, or its zone is evacuated.
 	transfers  int
 	evacuating bool
 	// pendingTransfers holds the released ranges that wait for a directory
@@ -362,6 +368,7 @@
 		attempts:           map[*attempt]struct{}{},
 		suspects:           quarantine.NewList(),
 
+		evacuation:   evacuation.NewState(now),
 		startedAt:    now,
 		decodeConfig: deps.DecodeConfig,
 	}
@@ -479,7 +486,7 @@
 	t.heardAt, t.down, t.replaced, t.refusingSince = now, false, false, time.Time{}
 	t.coldUntil = now.Add(state.ColdFor)
 	m.scheduler.SetSlots(now, state.Slots)
-	if _, byHeartbeat := m.delivery.(*heartbeatDelivery); byHeartbeat && !t.leavingSince.IsZero() && !m.leaving {
+	if _, byHeartbeat := m.delivery.(*heartbeatDelivery); byHeartbeat && (!t.leavingSince.IsZero() || m.zoneEvacuated()) && !m.leaving {
 		m.evacuate() // so that this answer already releases the keys
 	}
 	answer := m.answerHeartbeat(now, state.Grants)
--- a/io/mesh/metrics.go
+++ b/io/mesh/metrics.go
@@ -44,6 +44,10 @@
 	// suspects is the number of requests that were running during a crash and are not
 	// forgotten, and quarantined that of those that are rejected.
 	suspects, quarantined tally.Gauge
+	// evacuatedZones is the number of evacuated zones, and rejectedEvacuated counts the requests
+	// that were not sent to the target because its zone is evacuated.
+	evacuatedZones    tally.Gauge
+	rejectedEvacuated *counter
 	// storeEra is the era of the store.
 	storeEra   tally.Gauge
 	timerLag   lagRecorder
@@ -79,6 +83,8 @@
 		targetCrashes:     newCounter(scope, "target_crashes"),
 		suspects:          scope.Gauge("suspects"),
 		quarantined:       scope.Gauge("suspects_quarantined"),
+		evacuatedZones:    scope.Gauge("evacuated_zones"),
+		rejectedEvacuated: newCounter(scope, "requests_rejected_evacuated"),
 		storeEra:          scope.Gauge("store_era"),
 		sentRate:          scope.Gauge("target_requests_per_second"),
 		timerLag:          lagRecorder{histogram: scope.Histogram("timer_lag", buckets)},
--- a/io/mesh/move.go
+++ b/io/mesh/move.go
@@ -33,7 +33,7 @@
 	now := boottime.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.transfers >= placement.MaxMoves || m.leaving || m.evacuating || !m.mayReassign(now) || yield.Service != m.cfg.Service || !m.leases.Holds(now, m.dir) {
+	if m.transfers >= placement.MaxMoves || m.leaving || m.evacuating || m.zoneEvacuated() || !m.mayReassign(now) || yield.Service != m.cfg.Service || !m.leases.Holds(now, m.dir) {
 		return &peerpb.Reply{}
 	}
 	h, ok := m.pickRange(yield.Demand)
@@ -237,11 +237,11 @@
 }
 
 // evacuateIfLeaving transfers all keys if the target is leaving, accepts no connections or
-// has exited.
+// has exited, or if its zone is evacuated.
 func (m *Mesh) evacuateIfLeaving() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	targetLeaving := m.target.down || !m.target.refusingSince.IsZero() || !m.target.leavingSince.IsZero()
+	targetLeaving := m.target.down || !m.target.refusingSince.IsZero() || !m.target.leavingSince.IsZero() || m.zoneEvacuated()
 	if m.leaving {
 		return // Leave transfers the keys
 	}
--- a/io/mesh/sync.go
+++ b/io/mesh/sync.go
@@ -152,6 +152,7 @@
 	}
 	m.loaded = true
 	m.log.Info("directory read", "version", m.dir.Version(), "members", len(m.dir.Members()), "source", source)
+	m.logUnknownZones(m.evacuation.Current().Zones)
 }
 
 // readStore reads the directory from the store, or through a peer if the store
