--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -25,6 +25,7 @@
 		{"not run, delay exceeds the time left", outcome.NotRun{Reason: outcome.Shed}, false, 1, time.Millisecond, 5, false},
 		{"not run, RetryAfter exceeds the time left", outcome.NotRun{Reason: outcome.Shed, RetryAfter: 2 * time.Second}, false, 1, time.Second, 5, false},
 		{"owner changing, attempts and budget spent", outcome.NotRun{Reason: outcome.NoOwner}, false, 50, time.Second, 0, true},
+		{"zone evacuated, attempts and budget spent", outcome.NotRun{Reason: outcome.Evacuated}, false, 50, time.Second, 0, true},
 		{"malformed", outcome.NotRun{Reason: outcome.Malformed}, true, 1, time.Second, 5, false},
 		{"unknown", outcome.Unknown{Reason: outcome.ConnectionCut}, false, 1, time.Second, 5, false},
 		{"unknown, idempotent", outcome.Unknown{Reason: outcome.ConnectionCut}, true, 1, time.Second, 5, true},
--- a/io/mesh/evacuation.go
+++ b/io/mesh/evacuation.go
@@ -118,6 +118,13 @@
 // zoneEvacuated reports whether the zone of this daemon is evacuated.
 func (m *Mesh) zoneEvacuated() bool { return m.evacuation.Current().Contains(m.cfg.Zone) }
 
+// mayTransferAll reports whether all keys may be given to other members. In an evacuated zone
+// the keys are of no use where they are, so a daemon whose calls the store rejects transfers them
+// through another daemon that reaches the store. The caller holds the mutex.
+func (m *Mesh) mayTransferAll(now time.Time) bool {
+	return m.mayReassign(now) || (m.zoneEvacuated() && m.mayGrantNew(now) && len(m.allRelays(now)) > 0)
+}
+
 // evacuatedOwnerRefusal returns why c is not sent to the owner of its key, if the owner's zone is
 // evacuated, or nil. The key gets an owner in another zone if there is a member; if not, it is set
 // in c that no retry can succeed.
--- a/io/mesh/move.go
+++ b/io/mesh/move.go
@@ -33,7 +33,10 @@
 	now := boottime.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.transfers >= placement.MaxMoves || m.leaving || m.evacuating || m.zoneEvacuated() || !m.mayReassign(now) || yield.Service != m.cfg.Service || !m.leases.Holds(now, m.dir) {
+	if m.zoneEvacuated() {
+		return &peerpb.Reply{}
+	}
+	if m.transfers >= placement.MaxMoves || m.leaving || m.evacuating || !m.mayReassign(now) || yield.Service != m.cfg.Service || !m.leases.Holds(now, m.dir) {
 		return &peerpb.Reply{}
 	}
 	h, ok := m.pickRange(yield.Demand)
@@ -245,7 +248,7 @@
 	if m.leaving {
 		return // Leave transfers the keys
 	}
-	m.evacuating = targetLeaving && m.mayReassign(boottime.Now())
+	m.evacuating = targetLeaving && m.mayTransferAll(boottime.Now())
 	if targetLeaving {
 		m.evacuate()
 	}
@@ -255,7 +258,7 @@
 // progress, or the store is unreachable: released keys could not be assigned to
 // anyone. The caller holds the mutex.
 func (m *Mesh) evacuate() {
-	if m.transfers > 0 || !m.divided() || !m.mayReassign(boottime.Now()) || slices.ContainsFunc(m.holdings, func(h *holding) bool { return h.grantInFlight }) {
+	if m.transfers > 0 || !m.divided() || !m.mayTransferAll(boottime.Now()) || slices.ContainsFunc(m.holdings, func(h *holding) bool { return h.grantInFlight }) {
 		return
 	}
 	parts, owners := m.planEvacuation()
@@ -397,8 +400,8 @@
 	if ctx.Err() != nil || len(m.holdings) == 0 || !m.divided() {
 		return false
 	}
-	mayReassign := m.mayReassign(boottime.Now())
-	m.evacuating = mayReassign
+	mayTransfer := m.mayTransferAll(boottime.Now())
+	m.evacuating = mayTransfer
 	m.evacuate()
-	return m.transfers > 0 || m.evacuating || !mayReassign
+	return m.transfers > 0 || m.evacuating || !mayTransfer
 }
--- a/io/mesh/sync.go
+++ b/io/mesh/sync.go
@@ -246,16 +246,22 @@
 // reach the store, in random order.
 func (m *Mesh) relays() []netip.AddrPort {
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	now := boottime.Now()
+	list := m.allRelays(boottime.Now())
+	m.mu.Unlock()
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(len(list), maxRelays)]
+}
+
+// allRelays returns the daemons that have recently reported that they reach the store. The
+// caller holds the mutex.
+func (m *Mesh) allRelays(now time.Time) []netip.AddrPort {
 	var list []netip.AddrPort
 	for addr, hb := range m.receivedHeartbeats {
 		if hb.storeOK && now.Sub(hb.receivedAt) < relayMaxAge {
 			list = append(list, addr)
 		}
 	}
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	return list[:min(len(list), maxRelays)]
+	return list
 }
 
 // handleRelay calls the store on behalf of another daemon.
