Retain evacuated zones whose record the store has lost

A store that comes back from a copy can lack the record of an evacuation until the operator writes it again; the zone got requests meanwhile. A zone that is missing in the first set of a later era now stays evacuated for 10 s at each daemon that knew it, unless a record removes it.

--- a/core/evacuation/evacuation.go
+++ b/core/evacuation/evacuation.go
@@ -13,12 +13,17 @@
 // daemon that has read the earlier records knows. Sets of the same version are therefore
 // merged, so that all daemons come to the same set and a doubtful zone counts as evacuated.
 //
+// A store that comes back from a copy may have lost the record of an evacuation, until the
+// operator writes it again. A zone that is missing in the first set of a later era therefore
+// stays evacuated for RetainTime at each daemon that knew it, unless a record removes it.
+//
 // # Usage
 //
 //	state := evacuation.NewState(startedAt)
-//	change := state.ApplySnapshot(version, records)  // the newest record of each zone
-//	change, ok := state.ApplyRecords(base, version, records)
-//	change = state.Merge(setOfOtherDaemon)
+//	change := state.ApplySnapshot(now, version, records)  // the newest record of each zone
+//	change, ok := state.ApplyRecords(now, base, version, records)
+//	change = state.Merge(now, setOfOtherDaemon)
+//	change = state.Expire(now)
 //	if state.Verdict(now, zone) == evacuation.Serve {
 //		// requests may be sent to the targets of the zone
 //	}
@@ -39,6 +44,10 @@
 // ones each time, every 0.6 s, so that a daemon that returns hears from several within 1 s.
 const LearnTime = 2 * time.Second
 
+// RetainTime is how long a zone stays evacuated whose record is missing in a later era of the
+// store, so that the operator can write what the store has lost again.
+const RetainTime = 10 * time.Second
+
 // maxZoneBytes limits the name of a zone; the key of a record has at most 255 bytes.
 const maxZoneBytes = 255
 
@@ -99,13 +108,26 @@
 	set Set
 	// known is set once the set was read or received.
 	known bool
+	// retained has the zones of an earlier era that are missing in the set, and until when they
+	// stay evacuated. current has the zones of the set and these.
+	retained map[string]time.Time
+	current  Set
 }
 
 // NewState returns the State of a daemon that was started at startedAt and knows no set.
-func NewState(startedAt time.Time) *State { return &State{startedAt: startedAt} }
+func NewState(startedAt time.Time) *State {
+	return &State{startedAt: startedAt, retained: map[string]time.Time{}}
+}
 
-// Current returns the set.
+// Current returns the zones that are evacuated for this daemon.
 func (s *State) Current() Set {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.current
+}
+
+// Shared returns the set for other daemons: without the zones that are retained here.
+func (s *State) Shared() Set {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.set
@@ -118,7 +140,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
-	case s.set.Contains(zone):
+	case s.current.Contains(zone):
 		return Evacuated
 	case !s.known && now.Sub(s.startedAt) < LearnTime:
 		return Unknown
@@ -127,9 +149,19 @@
 	}
 }
 
+// Expire ends the evacuation of zones that were retained until now.
+func (s *State) Expire(now time.Time) Change {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.retained) == 0 {
+		return Change{}
+	}
+	return s.update(now)
+}
+
 // ApplySnapshot applies a read of the newest record of each zone, which contains all records
 // before version. Zones that it does not list are not evacuated as of that version.
-func (s *State) ApplySnapshot(version uint64, records []Record) Change {
+func (s *State) ApplySnapshot(now time.Time, version uint64, records []Record) Change {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	zones := map[string]struct{}{}
@@ -138,22 +170,19 @@
 			zones[r.Zone] = struct{}{}
 		}
 	}
-	return s.adopt(Set{Version: version, Zones: slices.Sorted(maps.Keys(zones))})
+	return s.adopt(now, Set{Version: version, Zones: slices.Sorted(maps.Keys(zones))})
 }
 
 // ApplyRecords applies the records from version base on, in their order; version is that after
 // the last one. It does nothing and returns false if the set is older than base, so that
 // records are missing between them: a snapshot is needed. Records that the set contains
 // already may be applied again.
-func (s *State) ApplyRecords(base, version uint64, records []Record) (Change, bool) {
+func (s *State) ApplyRecords(now time.Time, base, version uint64, records []Record) (Change, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.known || s.set.Version < base || directory.EraOf(s.set.Version) < directory.EraOf(version) {
 		return Change{}, false
 	}
-	if s.set.Version >= version {
-		return Change{}, true
-	}
 	zones := map[string]struct{}{}
 	for _, zone := range s.set.Zones {
 		zones[zone] = struct{}{}
@@ -164,15 +193,19 @@
 			zones[r.Zone] = struct{}{}
 		case Remove:
 			delete(zones, r.Zone)
+			delete(s.retained, r.Zone)
 		case Malformed:
 		}
 	}
-	return s.adopt(Set{Version: version, Zones: slices.Sorted(maps.Keys(zones))}), true
+	if s.set.Version >= version {
+		return s.update(now), true // only the retained zones can have changed
+	}
+	return s.adopt(now, Set{Version: version, Zones: slices.Sorted(maps.Keys(zones))}), true
 }
 
 // Merge applies the set of another daemon. It ignores one of a daemon that knows nothing, of a
 // version that no store reaches, and names that are not valid.
-func (s *State) Merge(other Set) Change {
+func (s *State) Merge(now time.Time, other Set) Change {
 	if other.Version == 0 || directory.EraOf(other.Version) > directory.LastEra {
 		return Change{}
 	}
@@ -180,13 +213,14 @@
 	slices.Sort(zones)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.adopt(Set{Version: other.Version, Zones: slices.Compact(zones)})
+	return s.adopt(now, Set{Version: other.Version, Zones: slices.Compact(zones)})
 }
 
 // adopt replaces the set by next if that is newer, or merges them if they have the same
 // version. The caller holds the mutex.
-func (s *State) adopt(next Set) Change {
-	if s.known && next.Version < s.set.Version {
+func (s *State) adopt(now time.Time, next Set) Change {
+	same := s.known && next.Version == s.set.Version && slices.Equal(next.Zones, s.set.Zones)
+	if same || (s.known && next.Version < s.set.Version) {
 		return Change{}
 	}
 	if s.known && next.Version == s.set.Version {
@@ -194,8 +228,23 @@
 		slices.Sort(next.Zones)
 		next.Zones = slices.Compact(next.Zones)
 	}
-	change := Change{Begun: without(next.Zones, s.set.Zones), Ended: without(s.set.Zones, next.Zones)}
+	if s.known && directory.EraOf(next.Version) > directory.EraOf(s.set.Version) {
+		for _, zone := range without(s.set.Zones, next.Zones) {
+			s.retained[zone] = now.Add(RetainTime)
+		}
+	}
 	s.set, s.known = next, true
+	return s.update(now)
+}
+
+// update determines the current zones, and returns how they have changed. The caller holds the
+// mutex.
+func (s *State) update(now time.Time) Change {
+	maps.DeleteFunc(s.retained, func(zone string, until time.Time) bool { return !now.Before(until) || s.set.Contains(zone) })
+	zones := slices.Concat(s.set.Zones, slices.Collect(maps.Keys(s.retained)))
+	slices.Sort(zones)
+	change := Change{Begun: without(zones, s.current.Zones), Ended: without(s.current.Zones, zones)}
+	s.current = Set{Version: s.set.Version, Zones: zones}
 	return change
 }
 
--- a/core/evacuation/evacuation_test.go
+++ b/core/evacuation/evacuation_test.go
@@ -18,7 +18,7 @@
 // stateAt returns a state with a set of the given version and zones.
 func stateAt(version uint64, zones ...string) *State {
 	s := NewState(startedAt)
-	s.ApplySnapshot(version, evacuate(zones...))
+	s.ApplySnapshot(startedAt, version, evacuate(zones...))
 	return s
 }
 
@@ -55,7 +55,7 @@
 		{"nothing known", NewState(startedAt), 0, 1, evacuate("b"), false, Set{}, Change{}},
 	} {
 		t.Run(row.name, func(t *testing.T) {
-			change, applied := row.state.ApplyRecords(row.base, row.version, row.records)
+			change, applied := row.state.ApplyRecords(startedAt, row.base, row.version, row.records)
 			require.Equal(t, row.applied, applied)
 			requireSet(t, row.want, row.state)
 			requireChange(t, row.change, change)
@@ -65,7 +65,7 @@
 
 // requireSet checks the set of s.
 func requireSet(t require.TestingT, want Set, s *State) {
-	got := s.Current()
+	got := s.Shared()
 	require.Equal(t, want.Version, got.Version)
 	require.ElementsMatch(t, want.Zones, got.Zones)
 }
@@ -95,12 +95,62 @@
 		{"removal", stateAt(4, "a"), 9, []Record{{"a", Remove}}, Set{Version: 9}},
 	} {
 		t.Run(row.name, func(t *testing.T) {
-			row.state.ApplySnapshot(row.version, row.records)
+			row.state.ApplySnapshot(startedAt, row.version, row.records)
 			requireSet(t, row.want, row.state)
 		})
 	}
 }
 
+// TestRecordIsLostByStore guards against requests that are sent to an evacuated zone because the store came back from a
+// copy without the record, and against a zone that stays evacuated when the operator does not write it again.
+func TestRecordIsLostByStore(t *testing.T) {
+	restored := directory.VersionAt(2, 3)
+	at := func(after time.Duration) time.Time { return startedAt.Add(after) }
+	for _, row := range []struct {
+		name   string
+		events func(s *State)
+		now    time.Time
+		want   Verdict
+	}{
+		{"same era", func(s *State) { s.ApplySnapshot(startedAt, 9, nil) }, startedAt, Serve},
+		{"lost", func(s *State) { s.ApplySnapshot(startedAt, restored, nil) }, startedAt, Evacuated},
+		{"lost, says another daemon", func(s *State) { s.Merge(startedAt, Set{Version: restored}) }, startedAt, Evacuated},
+		{"lost, and not written again", func(s *State) {
+			s.ApplySnapshot(startedAt, restored, nil)
+			require.True(t, s.Expire(at(RetainTime-1)).IsEmpty())
+			requireChange(t, Change{Ended: []string{"a"}}, s.Expire(at(RetainTime)))
+		}, at(RetainTime), Serve},
+		{"written again", func(s *State) {
+			s.ApplySnapshot(startedAt, restored, nil)
+			change, _ := s.ApplyRecords(startedAt, restored, restored+1, evacuate("a"))
+			requireChange(t, Change{}, change)
+			requireChange(t, Change{}, s.Expire(at(RetainTime)))
+		}, at(RetainTime), Evacuated},
+		{"removed afterwards", func(s *State) {
+			s.ApplySnapshot(startedAt, restored, nil)
+			change, _ := s.ApplyRecords(startedAt, restored, restored+1, []Record{{"a", Remove}})
+			requireChange(t, Change{Ended: []string{"a"}}, change)
+		}, startedAt, Serve},
+		{"removed afterwards, said another daemon before", func(s *State) {
+			s.ApplySnapshot(startedAt, restored, nil)
+			s.Merge(startedAt, Set{Version: restored + 1})
+			change, _ := s.ApplyRecords(startedAt, restored, restored+1, []Record{{"a", Remove}})
+			requireChange(t, Change{Ended: []string{"a"}}, change)
+		}, startedAt, Serve},
+		{"not lost", func(s *State) {
+			s.ApplySnapshot(startedAt, restored, evacuate("a"))
+			s.ApplyRecords(startedAt, restored, restored+1, []Record{{"a", Remove}})
+		}, startedAt, Serve},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			s := stateAt(4, "a")
+			row.events(s)
+			require.Equal(t, row.want, s.Verdict(row.now, "a"))
+			require.Equal(t, row.want == Evacuated, s.Current().Contains("a"))
+		})
+	}
+}
+
 // TestOddSetOfPeer guards against a set of another daemon that no later one can replace, or that no message can contain.
 func TestOddSetOfPeer(t *testing.T) {
 	for _, row := range []struct {
@@ -118,7 +168,7 @@
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			s := stateAt(4, "a")
-			s.Merge(row.other)
+			s.Merge(startedAt, row.other)
 			requireSet(t, row.want, s)
 			require.True(t, slices.IsSorted(s.Current().Zones))
 		})
@@ -174,12 +224,12 @@
 		read := func(i int, snapshot bool) {
 			end := uint64(len(topic))
 			if hasRead[i] && !snapshot {
-				_, ok := daemons[i].ApplyRecords(next[i], end, topic[next[i]:])
+				_, ok := daemons[i].ApplyRecords(startedAt, next[i], end, topic[next[i]:])
 				require.True(t, ok)
 			} else {
 				// The records of a snapshot can be newer than its version.
 				version := uint64(rapid.IntRange(0, len(topic)).Draw(t, "version"))
-				daemons[i].ApplySnapshot(version, newest(end))
+				daemons[i].ApplySnapshot(startedAt, version, newest(end))
 				end = version
 			}
 			next[i], hasRead[i] = end, true
@@ -195,7 +245,7 @@
 			case "snapshot":
 				read(i, true)
 			case "send":
-				daemons[rapid.IntRange(0, len(daemons)-1).Draw(t, "to")].Merge(daemons[i].Current())
+				daemons[rapid.IntRange(0, len(daemons)-1).Draw(t, "to")].Merge(startedAt, daemons[i].Current())
 			case "restart":
 				daemons[i], hasRead[i] = NewState(startedAt), false
 			}
@@ -211,7 +261,7 @@
 			}
 		}
 		for _, d := range daemons {
-			d.Merge(daemons[reader].Current())
+			d.Merge(startedAt, daemons[reader].Current())
 			requireSet(t, want, d)
 		}
 	})
--- a/io/mesh/evacuation.go
+++ b/io/mesh/evacuation.go
@@ -24,7 +24,8 @@
 func (m *Mesh) ApplyEvacuationSnapshot(version uint64, records []evacuation.Record) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.recordEvacuationChange(boottime.Now(), m.evacuation.ApplySnapshot(version, records), "store")
+	now := boottime.Now()
+	m.recordEvacuationChange(now, m.evacuation.ApplySnapshot(now, version, records), "store")
 }
 
 // ApplyEvacuationRecords applies the operator's records between the versions base and version.
@@ -32,8 +33,9 @@
 func (m *Mesh) ApplyEvacuationRecords(base, version uint64, records []evacuation.Record) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	change, ok := m.evacuation.ApplyRecords(base, version, records)
-	m.recordEvacuationChange(boottime.Now(), change, "store")
+	now := boottime.Now()
+	change, ok := m.evacuation.ApplyRecords(now, base, version, records)
+	m.recordEvacuationChange(now, change, "store")
 	return ok
 }
 
@@ -42,13 +44,21 @@
 	if set == nil {
 		return
 	}
-	change := m.evacuation.Merge(evacuation.Set{Version: set.Version, Zones: set.Zones})
+	change := m.evacuation.Merge(now, evacuation.Set{Version: set.Version, Zones: set.Zones})
 	m.recordEvacuationChange(now, change, from)
 }
 
+// expireEvacuations ends the evacuation of zones whose record the store has lost, and that the
+// operator has not written again in time.
+func (m *Mesh) expireEvacuations(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.recordEvacuationChange(now, m.evacuation.Expire(now), "expiry")
+}
+
 // evacuationsToSend returns the set for a message to another daemon, or nil if none is known.
 func (m *Mesh) evacuationsToSend() *peerpb.Evacuations {
-	set := m.evacuation.Current()
+	set := m.evacuation.Shared()
 	if set.Version == 0 {
 		return nil
 	}
--- a/io/mesh/maintenance.go
+++ b/io/mesh/maintenance.go
@@ -88,6 +88,7 @@
 // tick runs the work that is due at now.
 func (t *maintenance) tick(now time.Time) {
 	m := t.mesh
+	m.expireEvacuations(now)
 	if t.readDue(now) {
 		t.read.record(now, m.refreshDirectory())
 	}
