Read the longest wait of a request before it is queued

The race detector reported a read of waiter.late in Acquire while demoteLate wrote it, in a test that queues requests beside a rate limit. Acquire computed the longest wait after the lock was released. It is now stored under the lock when the request is queued. A request that is demoted meanwhile keeps the wait of its first queue, as it did unless the two happened at the same moment.

--- a/core/scheduling/scheduling.go
+++ b/core/scheduling/scheduling.go
@@ -92,8 +92,9 @@
 // waiter is a request in a queue.
 type waiter struct {
 	Request
-	// since is when the request was queued.
-	since time.Time
+	// since is when the request was queued, and maxWait how long it waits at most.
+	since   time.Time
+	maxWait time.Duration
 	// late is set if the request is in the queue of late requests.
 	late bool
 	// done receives nil when the request is admitted, or the reason for its
@@ -190,7 +191,7 @@
 	if w == nil {
 		return &Permit{scheduler: s, req: req, sentAt: now}, nil
 	}
-	timer := time.NewTimer(w.maxWait(now))
+	timer := time.NewTimer(w.maxWait)
 	defer timer.Stop()
 	select {
 	case res := <-w.done:
@@ -199,17 +200,17 @@
 		}
 		return &Permit{scheduler: s, req: req, sentAt: now}, nil
 	case <-timer.C:
-		return s.abandon(w, now, outcome.NotRun{Reason: outcome.Overloaded, RetryAfter: s.retryAfterWait(w, now.Add(w.maxWait(now)))})
+		return s.abandon(w, now, outcome.NotRun{Reason: outcome.Overloaded, RetryAfter: s.retryAfterWait(w, now.Add(w.maxWait))})
 	case <-ctx.Done():
 		return s.abandon(w, now, outcome.NotRun{Reason: outcome.Cancelled})
 	}
 }
 
-// maxWait returns the maximum time that w waits in its queue: as long as it may
+// longestWait returns the maximum time that w waits in its queue: as long as it may
 // still be answered within its objective or a little later. For a late request it
 // is maxLateWait; for any other it is the time until its objective plus
 // maxLateWait. It never exceeds the time until the deadline.
-func (w *waiter) maxWait(now time.Time) time.Duration {
+func (w *waiter) longestWait(now time.Time) time.Duration {
 	left := w.Deadline.Sub(now)
 	if w.late {
 		return min(left, maxLateWait(w.Request, now))
@@ -239,12 +240,14 @@
 	w := &waiter{Request: req, since: now, done: make(chan outcome.Result, 1)}
 	over := now.Add(wait + service).Sub(req.Objective)
 	if over <= 0 {
+		w.maxWait = w.longestWait(now)
 		level.queue = append(level.queue, w)
 		s.wakeWithToken(now)
 		return w, nil
 	}
 	if s.canQueueLate(now, level, req, wait, service) {
 		w.late = true
+		w.maxWait = w.longestWait(now)
 		level.late = append(level.late, w)
 		s.wakeWithToken(now)
 		return w, nil
