--- a/core/ratelimit/ratelimit.go
+++ b/core/ratelimit/ratelimit.go
@@ -3,7 +3,8 @@
 // tokens of a short time, so that a limit is used fully although events are uneven.
 //
 // In every interval of length d at most rate*(d+burstTime)+2 events happen, whatever
-// happened before, as long as the rate does not change.
+// happened before, as long as the rate does not change. The events of a paced limit are
+// spaced evenly: the bucket holds one token.
 //
 // # Usage
 //
@@ -28,7 +29,9 @@
 // concurrent use.
 type Limiter struct {
 	limited bool
-	rate    float64
+	// paced is set if the bucket holds one token only.
+	paced bool
+	rate  float64
 	// tokens is the number of tokens at the time at.
 	tokens float64
 	at     time.Time
@@ -41,10 +44,18 @@
 	if !l.limited {
 		l.limited, l.tokens, l.at = true, 1, now
 	}
-	l.rate = max(rate, minRate)
+	l.rate, l.paced = max(rate, minRate), false
 	l.tokens = min(l.tokens, l.capacity())
 }
 
+// SetPaced changes the limit to rate events per second that are spaced evenly, the first one
+// not before delay has passed.
+func (l *Limiter) SetPaced(now time.Time, rate float64, delay time.Duration) {
+	l.Set(now, rate)
+	l.paced = true
+	l.tokens = min(l.tokens, 1-l.rate*delay.Seconds())
+}
+
 // Clear removes the limit.
 func (l *Limiter) Clear() { *l = Limiter{} }
 
@@ -81,7 +92,12 @@
 }
 
 // capacity returns the number of tokens that the bucket holds.
-func (l *Limiter) capacity() float64 { return max(1, l.rate*burstTime.Seconds()) }
+func (l *Limiter) capacity() float64 {
+	if l.paced {
+		return 1
+	}
+	return max(1, l.rate*burstTime.Seconds())
+}
 
 // advance adds the tokens that have arrived until now. It does nothing if now is not
 // after the latest time passed to a method.
--- a/core/ratelimit/ratelimit_test.go
+++ b/core/ratelimit/ratelimit_test.go
@@ -60,3 +60,37 @@
 	limiter := Limiter{}
 	require.Zero(t, limiter.Wait(start, 5), "without a limit")
 }
+
+// TestPacedEventsAreUneven guards against events of a paced limit that come closer to each other than its rate allows,
+// also after a time without events, and against a first event before the delay has passed.
+func TestPacedEventsAreUneven(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := float64(rapid.IntRange(1, 50).Draw(t, "rate"))
+		delay := time.Duration(rapid.IntRange(0, 1000).Draw(t, "delay_ms")) * time.Millisecond
+		now := time.Unix(100, 0)
+		limiter := Limiter{}
+		if rapid.Bool().Draw(t, "was limited") {
+			limiter.Set(now, 100)
+			now = now.Add(time.Second)
+		}
+		limiter.SetPaced(now, rate, delay)
+		const rounding = time.Microsecond
+		allowedFrom := now.Add(delay - rounding)
+		for range 200 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 80).Draw(t, "gap_ms")) * time.Millisecond)
+			if limiter.Allows(now) {
+				require.False(t, now.Before(allowedFrom))
+				limiter.Take(now)
+				allowedFrom = now.Add(time.Duration(float64(time.Second)/rate) - rounding)
+			}
+		}
+	})
+	limiter := Limiter{}
+	limiter.SetPaced(time.Unix(100, 0), 10, 0)
+	limiter.Take(time.Unix(200, 0))
+	require.Equal(t, 100*time.Millisecond, limiter.Wait(time.Unix(200, 0), 1), "unused tokens are not saved")
+	limiter.Set(time.Unix(300, 0), 10)
+	limiter.Take(time.Unix(300, 0))
+	require.Equal(t, 100*time.Millisecond, limiter.Wait(time.Unix(300, 0), 1))
+	require.Zero(t, limiter.Wait(time.Unix(301, 0), 5), "a limit that is not paced saves them")
+}
--- a/core/scheduling/scheduling.go
+++ b/core/scheduling/scheduling.go
@@ -23,7 +23,8 @@
 //     whatever its priority, and the expected waiting time includes the wait for it. The
 //     slots of such a target are mostly free, so without this it would get all requests.
 //     Requests wait in the same queues, so that the rate goes to the highest priority
-//     first and to lower ones by the same minimum share.
+//     first and to lower ones by the same minimum share. The rate of a cold target (package
+//     coldstart) is paced, without bursts, so that a request with a slot may be sent.
 //   - Shedding. The concurrency limit shrinks with each request that the target
 //     refuses and grows back as others succeed, but it never drops below a fixed
 //     share of the slots. The target never receives more requests than it has
@@ -163,7 +164,16 @@
 	s.admitWaiting(now)
 }
 
-// ClearRate removes the limit that SetRate has set.
+// SetPacedRate limits the requests that are sent to the target to perSecond, spaced evenly, the
+// first one not before delay has passed.
+func (s *Scheduler) SetPacedRate(now time.Time, perSecond float64, delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rate.SetPaced(now, perSecond, delay)
+	s.admitWaiting(now)
+}
+
+// ClearRate removes the limit that SetRate or SetPacedRate has set.
 func (s *Scheduler) ClearRate(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
