Limit the rate of requests to a cold target

Operators saw targets crash after a restart, after an evacuation, and when they became cold while serving: they got the load of warm targets.

The daemon beside a target now sends it at most cold_per_s requests in any second while it is cold. Requests queue by priority for the rate or are rejected with the time at which there is room. The load report names the rate and the time left; other daemons compare a cold target by the requests that it sustains, since its own service time is longer than that of the others or not known yet.

The cold state comes from heartbeats, starts of the target, its return after it was down, the end of an evacuation (assumeCold), and health checks, which are sent only while the state is assumed and requests arrive. Without cold_per_s nothing is limited and no health check sent.

Bad values of cold_start_s and cold_per_s get a bound and a log line, and do not make the document invalid.

--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -51,6 +51,8 @@
 	// MaxRate is the number of requests per second that the target accepts, or 0 if it
 	// names no limit.
 	MaxRate float64
+	// ColdFor is how much longer the target sustains only MaxRate because it is cold, or 0.
+	ColdFor time.Duration
 }
 
 // utilization returns the demand as a share of the target's capacity.
--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -89,6 +89,10 @@
 	// Warmup is how long requests for a key are slow at a target that became its
 	// owner without a handover.
 	Warmup time.Duration
+	// ColdStart is how long a target is cold after its start, and ColdRate the requests per
+	// second that a cold target sustains; 0 for no limit.
+	ColdStart time.Duration
+	ColdRate  float64
 }
 
 // Limits are the limits on the requests and connections of callers.
@@ -105,8 +109,11 @@
 
 // Table is a version of the routing configuration. It is immutable.
 type Table struct {
-	Version  uint64
-	Limits   Limits
+	Version uint64
+	Limits  Limits
+	// Adjusted names the values that were out of bounds and were replaced by a bound, for
+	// the log.
+	Adjusted []string
 	services map[string]Service
 	// byHost holds the routes by host name in lower case, longest prefix first.
 	byHost map[string][]*Route
--- a/io/mesh/admission.go
+++ b/io/mesh/admission.go
@@ -103,6 +103,7 @@
 		}
 	}
 	m.mu.Lock()
+	m.rate.recordArrival(now)
 	targetTime := m.demand.RecordArrival(now, head.Class)
 	if divided {
 		m.keyLoad.Add(now, key, targetTime)
@@ -115,6 +116,7 @@
 		Deadline:  head.Deadline,
 	})
 	if refusal != nil {
+		m.rate.recordRefusal(boottime.Now(), refusal)
 		return refusal
 	}
 	started := boottime.Now()
@@ -249,14 +251,15 @@
 		return outcome.NotRun{Reason: outcome.Cancelled}, scheduling.Unused
 	}
 	r := &run{head: head, fingerprint: content}
-	if refusal := m.startRun(r, key, divided, times); refusal != nil {
-		return refusal, scheduling.Unused
+	if refusal, use := m.startRunWhenAllowed(ctx, r, key, divided, times); refusal != nil {
+		return refusal, use
 	}
 	resp, notice, res := m.targetClient.Send(ctx, head, body, r.process.instance)
 	if notice != nil {
 		m.recordNotice(boottime.Now(), notice)
 	}
 	if res != nil {
+		m.rate.forget(r.sentAt, res)
 		return m.handleFailure(m.endRun(ctx, r, res), r.process, key, divided)
 	}
 	if noticeSink, ok := ex.(forward.NoticeSink); ok && notice != nil && (notice.Limited || notice.Leaving) {
@@ -289,13 +292,17 @@
 // sent; the result says why. Time may have passed since sendRefusal while the start of the
 // body arrived.
 func (m *Mesh) startRun(r *run, key uint16, divided bool, times *requestTimes) outcome.Result {
-	now := boottime.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	now := boottime.Now() // the limit of a cold target counts sends in the order of their times
 	if refusal := m.sendRefusalLocked(now, r.head, key, divided); refusal != nil {
 		return refusal
 	}
+	if refusal := m.rate.send(now); refusal != nil {
+		return refusal
+	}
 	if refusal := m.admitSuspect(now, r); refusal != nil {
+		m.rate.forget(now, refusal)
 		return refusal
 	}
 	if divided {
--- a/io/mesh/grants_test.go
+++ b/io/mesh/grants_test.go
@@ -51,6 +51,7 @@
 		attempts:    map[*attempt]struct{}{},
 		suspects:    quarantine.NewList(),
 	}
+	m.rate = newTargetRate(time.Unix(0, 0), m.scheduler, m.metrics, m.log)
 	entries := []directory.Entry{directory.Member{Address: self, Service: "s", State: directory.Active}.PutEntry()}
 	end := uint64(1 + len(assignments))
 	for _, a := range assignments {
--- a/io/mesh/heartbeat.go
+++ b/io/mesh/heartbeat.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"siskinknot/core/coldstart"
 	"siskinknot/core/directory"
 	"siskinknot/core/placement"
 	"siskinknot/core/tenure"
@@ -27,6 +28,8 @@
 	// maxServiceUs is the longest mean service time that is used of a report, in
 	// microseconds.
 	maxServiceUs = uint64(time.Hour / time.Microsecond)
+	// maxColdMs is the longest cold time that is used of a report, in milliseconds.
+	maxColdMs = uint64(coldstart.MaxColdTime / time.Millisecond)
 )
 
 // loadReport is the load that a member reported for its target.
@@ -182,6 +185,7 @@
 			Demand:      nonNegative(load.Demand),
 			ServiceTime: time.Duration(min(load.ServiceUs, maxServiceUs)) * time.Microsecond,
 			MaxRate:     nonNegative(load.MaxRate),
+			ColdFor:     time.Duration(min(load.ColdMs, maxColdMs)) * time.Millisecond,
 		},
 		receivedAt: now,
 		inFlight:   int(load.InFlight),
@@ -201,9 +205,11 @@
 // mutex.
 func (m *Mesh) ownLoad(now time.Time) *peerpb.TargetLoad {
 	load := m.scheduler.Load()
+	cold := m.rate.cold(now)
 	return &peerpb.TargetLoad{
 		Accepting: m.target.accepting() && !m.leaving,
-		Cold:      now.Before(m.target.coldUntil),
+		Cold:      now.Before(m.target.coldUntil) || cold.Cold,
+		ColdMs:    uint64(cold.Left.Milliseconds()),
 		Slots:     uint32(max(m.target.Slots, 0)),
 		Demand:    m.demand.PerSecond(now),
 		ServiceUs: uint64(m.demand.MeanServiceTime().Microseconds()),
@@ -225,5 +231,6 @@
 		}
 		list = append(list, r.Load)
 	}
+	placement.AdjustCold(list)
 	return list
 }
--- a/io/mesh/ingress.go
+++ b/io/mesh/ingress.go
@@ -367,6 +367,7 @@
 	if len(all) == 0 {
 		return alreadyTried, nil
 	}
+	placement.AdjustCold(loads)
 	sample := placement.SampleByCapacity(loads, rand.Float64)
 	inSample := func(addr netip.AddrPort) bool { return sample[slices.Index(all, addr)] }
 	local = slices.DeleteFunc(local, func(addr netip.AddrPort) bool { return !inSample(addr) })
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -22,6 +22,8 @@
 //	             other owners (move.go), and drops those that were lost while the
 //	             lease had lapsed (disown.go)
 //	planner      balances the load while this member is the planner (plan.go)
+//	cold start   ends the rate limit of a cold target and asks for its state
+//	             (coldstart.go)
 //	era          writes the directory into the store after the store came back from
 //	             a copy (era.go)
 //	usage log    logs the process's resource usage and activity (usage.go)
@@ -128,6 +130,8 @@
 	Grant(ctx context.Context, instance string, a directory.Assignment, hold func() time.Duration) (GrantResult, targetconn.Timing)
 	// RefusesConnections reports whether nothing listens at the target's address.
 	RefusesConnections(ctx context.Context) bool
+	// HealthCheck asks the target for its health at path.
+	HealthCheck(ctx context.Context, path string) (TargetHealth, error)
 	// Release ends the grant of keys once the requests for them have finished,
 	// and returns the handover for the next owner.
 	Release(ctx context.Context, a directory.Assignment) (handover string, err error)
@@ -176,8 +180,10 @@
 	Slots int
 	// Ready is false while the target drains.
 	Ready bool
-	// ColdFor is how much longer the target is slow after its start.
-	ColdFor time.Duration
+	// ColdFor is how much longer the target is slow after its start. ColdUnknown is set if
+	// the heartbeat does not tell, and ColdBounded if it names an impossible time.
+	ColdFor                  time.Duration
+	ColdUnknown, ColdBounded bool
 	// Grants lists the ranges that the target holds and has released, if the target
 	// takes its grants from the answers to heartbeats; nil if it takes grant calls.
 	Grants *grantsync.Report
@@ -229,6 +235,8 @@
 	budget       *retry.Budget
 	// scheduler queues the requests for the target.
 	scheduler *scheduling.Scheduler
+	// rate limits the rate of the requests for the target.
+	rate *targetRate
 	// decodeConfig decodes the operator's configuration document.
 	decodeConfig func([]byte) (*routing.Table, error)
 	// startedAt is when this process started.
@@ -367,6 +375,7 @@
 	}
 	m.storeEra.Store(directory.FirstEra)
 	m.budget.SetBurst(m.retryBurst())
+	m.rate = newTargetRate(now, m.scheduler, m.metrics, m.log)
 	m.tomb.Go(m.runMaintenance)
 	m.tomb.Go(m.runHeartbeats)
 	m.tomb.Go(m.runFailover)
@@ -374,6 +383,7 @@
 	m.tomb.Go(m.runPlanner)
 	m.tomb.Go(m.runUsageLog)
 	m.tomb.Go(m.runEra)
+	m.tomb.Go(m.runColdStart)
 	return m
 }
 
@@ -405,6 +415,11 @@
 	}
 	m.table, m.document = table, document
 	m.log.Info("configuration in force", "version", table.Version)
+	for _, value := range table.Adjusted {
+		m.log.Warn("value of configuration out of bounds", "value", value)
+	}
+	svc, _ := table.Service(m.cfg.Service)
+	m.rate.configure(boottime.Now(), svc)
 	m.notify()
 }
 
@@ -461,11 +476,12 @@
 			m.dropGrants(t.Instance == state.Instance) // the former process held them
 		}
 		*t = localTarget{}
-		m.scheduler.ClearRate(now)
+		m.rate.clearNamed(now)
 		m.delivery = callDelivery{}
 		m.forgetExits(state.Born)
 	}
-	if t.down {
+	returned := t.down
+	if returned {
 		m.log.Info("target answers again", "instance", state.Instance)
 	}
 	t.TargetState = state
@@ -478,6 +494,7 @@
 	t.Ready = t.leavingSince.IsZero() // a heartbeat may be older than an answer
 	t.heardAt, t.down, t.replaced, t.refusingSince = now, false, false, time.Time{}
 	t.coldUntil = now.Add(state.ColdFor)
+	m.rate.observeHeartbeat(now, &state, restarted, returned)
 	m.scheduler.SetSlots(now, state.Slots)
 	if _, byHeartbeat := m.delivery.(*heartbeatDelivery); byHeartbeat && !t.leavingSince.IsZero() && !m.leaving {
 		m.evacuate() // so that this answer already releases the keys
--- a/io/mesh/metrics.go
+++ b/io/mesh/metrics.go
@@ -38,6 +38,11 @@
 	// limit and rate.
 	sentBeyondLimit       *counter
 	targetLimit, sentRate tally.Gauge
+	// targetCold is 1 while the target is cold and its rate is limited for that, coldRefusals
+	// counts the requests that were rejected meanwhile since the limit or the slots did not
+	// suffice, and healthChecks those that were sent to the target.
+	targetCold                 tally.Gauge
+	coldRefusals, healthChecks *counter
 	// targetCrashes counts the times that the target's process ended, without having
 	// announced it, while it ran requests.
 	targetCrashes *counter
@@ -76,6 +81,9 @@
 		latency:           scope.Histogram("request_time", buckets),
 		sentBeyondLimit:   newCounter(scope, "target_requests_beyond_limit"),
 		targetLimit:       scope.Gauge("target_limit_per_second"),
+		targetCold:        scope.Gauge("target_cold"),
+		coldRefusals:      newCounter(scope, "target_cold_rejections"),
+		healthChecks:      newCounter(scope, "target_health_checks"),
 		targetCrashes:     newCounter(scope, "target_crashes"),
 		suspects:          scope.Gauge("suspects"),
 		quarantined:       scope.Gauge("suspects_quarantined"),
--- a/io/mesh/notice.go
+++ b/io/mesh/notice.go
@@ -91,11 +91,11 @@
 			m.log.Info("target names a limit", "instance", notice.Instance, "per_second", notice.Limit, "sent_per_second", m.sentRate.PerSecond(now))
 		}
 		l.limited = true
-		m.scheduler.SetRate(now, l.perSecond)
+		m.rate.setNamed(now, l.perSecond)
 	case l.limited && now.Sub(l.namedAt) > limitEndDelay:
 		m.log.Info("target names no limit any more", "instance", notice.Instance, "per_second", l.perSecond)
 		*l = targetLimit{}
-		m.scheduler.ClearRate(now)
+		m.rate.clearNamed(now)
 	}
 }
 
