--- a/core/scheduling/scheduling.go
+++ b/core/scheduling/scheduling.go
@@ -23,7 +23,8 @@
 //     whatever its priority, and the expected waiting time includes the wait for it. The
 //     slots of such a target are mostly free, so without this it would get all requests.
 //     Requests wait in the same queues, so that the rate goes to the highest priority
-//     first and to lower ones by the same minimum share.
+//     first and to lower ones by the same minimum share. The rate of a cold target (package
+//     coldstart) is paced, without bursts, so that a request with a slot may be sent.
 //   - Shedding. The concurrency limit shrinks with each request that the target
 //     refuses and grows back as others succeed, but it never drops below a fixed
 //     share of the slots. The target never receives more requests than it has
@@ -92,8 +93,9 @@
 // waiter is a request in a queue.
 type waiter struct {
 	Request
-	// since is when the request was queued.
-	since time.Time
+	// since is when the request was queued, and maxWait how long it waits at most.
+	since   time.Time
+	maxWait time.Duration
 	// late is set if the request is in the queue of late requests.
 	late bool
 	// done receives nil when the request is admitted, or the reason for its
@@ -162,7 +164,16 @@
 	s.admitWaiting(now)
 }
 
-// ClearRate removes the limit that SetRate has set.
+// SetPacedRate limits the requests that are sent to the target to perSecond, spaced evenly, the
+// first one not before delay has passed.
+func (s *Scheduler) SetPacedRate(now time.Time, perSecond float64, delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rate.SetPaced(now, perSecond, delay)
+	s.admitWaiting(now)
+}
+
+// ClearRate removes the limit that SetRate or SetPacedRate has set.
 func (s *Scheduler) ClearRate(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -190,7 +201,7 @@
 	if w == nil {
 		return &Permit{scheduler: s, req: req, sentAt: now}, nil
 	}
-	timer := time.NewTimer(w.maxWait(now))
+	timer := time.NewTimer(w.maxWait)
 	defer timer.Stop()
 	select {
 	case res := <-w.done:
@@ -199,17 +210,17 @@
 		}
 		return &Permit{scheduler: s, req: req, sentAt: now}, nil
 	case <-timer.C:
-		return s.abandon(w, now, outcome.NotRun{Reason: outcome.Overloaded, RetryAfter: s.retryAfterWait(w, now.Add(w.maxWait(now)))})
+		return s.abandon(w, now, outcome.NotRun{Reason: outcome.Overloaded, RetryAfter: s.retryAfterWait(w, now.Add(w.maxWait))})
 	case <-ctx.Done():
 		return s.abandon(w, now, outcome.NotRun{Reason: outcome.Cancelled})
 	}
 }
 
-// maxWait returns the maximum time that w waits in its queue: as long as it may
+// longestWait returns the maximum time that w waits in its queue: as long as it may
 // still be answered within its objective or a little later. For a late request it
 // is maxLateWait; for any other it is the time until its objective plus
 // maxLateWait. It never exceeds the time until the deadline.
-func (w *waiter) maxWait(now time.Time) time.Duration {
+func (w *waiter) longestWait(now time.Time) time.Duration {
 	left := w.Deadline.Sub(now)
 	if w.late {
 		return min(left, maxLateWait(w.Request, now))
@@ -239,12 +250,14 @@
 	w := &waiter{Request: req, since: now, done: make(chan outcome.Result, 1)}
 	over := now.Add(wait + service).Sub(req.Objective)
 	if over <= 0 {
+		w.maxWait = w.longestWait(now)
 		level.queue = append(level.queue, w)
 		s.wakeWithToken(now)
 		return w, nil
 	}
 	if s.canQueueLate(now, level, req, wait, service) {
 		w.late = true
+		w.maxWait = w.longestWait(now)
 		level.late = append(level.late, w)
 		s.wakeWithToken(now)
 		return w, nil
--- a/io/mesh/evacuation.go
+++ b/io/mesh/evacuation.go
@@ -109,6 +109,7 @@
 // is sent to the target. The caller holds the mutex, and notifies those that wait for a change.
 func (m *Mesh) zoneReturned(now time.Time) {
 	m.log.Info("evacuation of this zone has ended", "zone", m.cfg.Zone, "target_cold", now.Before(m.target.coldUntil))
+	m.assumeCold(now)
 }
 
 // zoneRefusal returns why the zone of this daemon does not allow requests to be sent to the
--- a/io/mesh/metrics.go
+++ b/io/mesh/metrics.go
@@ -42,6 +42,11 @@
 	answersUnbuffered     *counter
 	answerBytes           tally.Gauge
 	targetLimit, sentRate tally.Gauge
+	// targetCold is 1 while the target is cold and its rate is limited for that, coldRefusals
+	// counts the requests that were rejected meanwhile since the limit or the slots did not
+	// suffice, and healthChecks those that were sent to the target.
+	targetCold                 tally.Gauge
+	coldRefusals, healthChecks *counter
 	// targetCrashes counts the times that the target's process ended, without having
 	// announced it, while it ran requests.
 	targetCrashes *counter
@@ -86,6 +91,9 @@
 		answersUnbuffered: newCounter(scope, "answers_unbuffered"),
 		answerBytes:       scope.Gauge("answer_bytes"),
 		targetLimit:       scope.Gauge("target_limit_per_second"),
+		targetCold:        scope.Gauge("target_cold"),
+		coldRefusals:      newCounter(scope, "target_cold_rejections"),
+		healthChecks:      newCounter(scope, "target_health_checks"),
 		targetCrashes:     newCounter(scope, "target_crashes"),
 		suspects:          scope.Gauge("suspects"),
 		quarantined:       scope.Gauge("suspects_quarantined"),
