Run calls of targets before other requests of their priority

A target answers a request with an error if one of its calls is refused, and the work done for it is lost. Calls queued behind other requests and were refused when they would have missed the objective of their route.

The scheduler takes Request.Call: calls have their own queue in each priority level, run before the other requests of the level, and are refused only if they cannot end before their deadline. The other requests of the level earn credit while calls run, as lower levels do. The estimate of the wait takes that credit into account where calls are involved; without calls nothing changes.

--- a/core/scheduling/scheduling.go
+++ b/core/scheduling/scheduling.go
@@ -12,6 +12,8 @@
 //   - Order. Requests with a higher priority run first. A lower priority level
 //     that has waiting requests gets at least a minimum share of the service
 //     time, so that no level starves.
+//   - Calls. A call that a target makes for a request it is running runs before the other
+//     requests of its priority, and has no objective of its own (calls.go).
 //   - Late requests. A request that can no longer meet its objective waits in a
 //     separate short queue, which is served when no other request is waiting.
 //   - Estimates. The expected waiting time is computed from the measured service
@@ -87,6 +89,8 @@
 	Objective time.Time
 	// Deadline is the time by which the request has to end.
 	Deadline time.Time
+	// Call is set if a target makes the request for another one that it is running.
+	Call bool
 }
 
 // waiter is a request in a queue.
@@ -96,6 +100,8 @@
 	since time.Time
 	// late is set if the request is in the queue of late requests.
 	late bool
+	// startBy is the time by which a call has to start.
+	startBy time.Time
 	// done receives nil when the request is admitted, or the reason for its
 	// refusal.
 	done chan outcome.Result
@@ -104,6 +110,7 @@
 // priorityLevel holds the queues of the requests with one priority.
 type priorityLevel struct {
 	priority int
+	calls    callQueue
 	queue    []*waiter
 	late     []*waiter
 	// credit is the service time, in seconds, that the level has earned while
@@ -211,6 +218,9 @@
 // maxLateWait. It never exceeds the time until the deadline.
 func (w *waiter) maxWait(now time.Time) time.Duration {
 	left := w.Deadline.Sub(now)
+	if w.Call {
+		return w.startBy.Sub(now)
+	}
 	if w.late {
 		return min(left, maxLateWait(w.Request, now))
 	}
@@ -231,9 +241,12 @@
 	defer s.mu.Unlock()
 	level := s.levelOf(req.Priority)
 	if s.mayStart(now) && !s.anyWaiting() {
-		s.takeSlot(now, level, req.Route)
+		s.takeSlot(now, level, req)
 		return nil, nil
 	}
+	if req.Call {
+		return s.queueCall(now, level, req)
+	}
 	service := s.serviceTime(req.Route)
 	wait := s.expectedWait(now, level)
 	w := &waiter{Request: req, since: now, done: make(chan outcome.Result, 1)}
@@ -259,7 +272,7 @@
 func (s *Scheduler) retryAfterWait(w *waiter, now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return max(minRetryAfter, s.rateWait(now, s.levelOf(w.Priority)))
+	return max(minRetryAfter, s.rateWait(now, s.levelOf(w.Priority), w.Call))
 }
 
 // retryDelay returns the delay before the retry of a request that would end later
@@ -287,6 +300,7 @@
 		}
 	}
 	level := &priorityLevel{priority: priority, usage: decay.Rate{HalfLife: usageHalfLife}, admitted: decay.Rate{HalfLife: usageHalfLife}}
+	level.calls = newCallQueue()
 	s.levels = append(s.levels[:i], append([]*priorityLevel{level}, s.levels[i:]...)...)
 	return level
 }
@@ -317,7 +331,7 @@
 // anyWaiting reports whether a request is queued that is not late.
 func (s *Scheduler) anyWaiting() bool {
 	for _, level := range s.levels {
-		if len(level.queue) > 0 {
+		if level.waiting() > 0 {
 			return true
 		}
 	}
@@ -333,33 +347,31 @@
 	return s.meanServiceTime
 }
 
-// expectedWait returns how long a new request of the given level is expected to
-// wait for a slot and for the rate limit, whichever takes longer.
+// expectedWait returns how long a new request of the given level that is no call is
+// expected to wait for a slot and for the rate limit, whichever takes longer.
 func (s *Scheduler) expectedWait(now time.Time, level *priorityLevel) time.Duration {
-	return max(s.slotWait(now, level), s.rateWait(now, level))
+	return max(s.slotWait(now, level, false), s.rateWait(now, level, false))
 }
 
-// rateWait returns how long a new request of the given level is expected to wait for
+// rateWait returns how long a new request or call of the given level is expected to wait for
 // its token of the rate limit: until the tokens that higher levels leave suffice for
 // the waiting requests that run before it and for itself, or until the level has earned
 // the credit for it, whichever comes first.
-func (s *Scheduler) rateWait(now time.Time, level *priorityLevel) time.Duration {
+func (s *Scheduler) rateWait(now time.Time, level *priorityLevel, call bool) time.Duration {
 	perSecond, limited := s.rate.Rate()
 	if !limited {
 		return 0
 	}
 	service := s.meanServiceTime.Seconds()
-	missing := max(0, service*float64(len(level.queue)+1)-level.credit)
+	ahead, higher := level.aheadOf(call), level.calls.admittedBefore(now, call)
+	missing := level.missingCredit(call, service)
 	byCredit := s.rate.Wait(now, 1+missing/(service*lowerShare))
-	ahead, higher := 0, 0.0
 	for _, other := range s.levels {
-		if other.priority > level.priority {
+		if other.priority >= level.priority {
 			break
 		}
-		ahead += len(other.queue)
-		if other != level {
-			higher += other.admitted.PerSecond(now)
-		}
+		ahead += other.waiting()
+		higher += other.admitted.PerSecond(now)
 	}
 	if higher >= perSecond {
 		return byCredit
@@ -367,36 +379,40 @@
 	return min(byCredit, time.Duration(float64(s.rate.Wait(now, float64(ahead)+1))*perSecond/(perSecond-higher)))
 }
 
-// slotWait returns how long a new request of the given level is expected to wait for
+// slotWait returns how long a new request or call of the given level is expected to wait for
 // a slot: the service time of the requests that run before it, divided by the slots
-// that higher levels leave free. It is 0 if a slot is free and nothing waits.
-func (s *Scheduler) slotWait(now time.Time, level *priorityLevel) time.Duration {
+// that higher levels, and calls of the same level, leave free. It is 0 if a slot is free and nothing waits.
+func (s *Scheduler) slotWait(now time.Time, level *priorityLevel, call bool) time.Duration {
 	if s.hasFreeSlot() && !s.anyWaiting() {
 		return 0
 	}
-	work, higher := s.meanServiceTime, 0.0
+	work, higher := s.meanServiceTime+s.work(level.calls.queue), level.calls.usageBefore(now, call)
+	if !call {
+		work += s.work(level.queue)
+	}
 	for _, other := range s.levels {
-		if other.priority > level.priority {
+		if other.priority >= level.priority {
 			break
 		}
-		for _, w := range other.queue {
-			work += s.serviceTime(w.Route)
-		}
-		if other != level {
-			higher += other.usage.PerSecond(now)
-		}
+		work += s.work(other.calls.queue) + s.work(other.queue)
+		higher += other.usage.PerSecond(now)
 	}
 	slots := max(s.limit-higher, s.limit*lowerShare, 1)
-	return time.Duration(float64(work) / slots)
+	wait := time.Duration(float64(work) / slots)
+	if call || s.callsAhead(level) {
+		wait = min(wait, s.creditWait(level, call))
+	}
+	return wait
 }
 
 // takeSlot takes a slot for a request of the given level.
-func (s *Scheduler) takeSlot(now time.Time, level *priorityLevel, route string) {
+func (s *Scheduler) takeSlot(now time.Time, level *priorityLevel, req Request) {
 	s.running++
 	s.rate.Take(now)
 	level.admitted.Add(now, 1)
-	service := s.serviceTime(route).Seconds()
+	service := s.serviceTime(req.Route).Seconds()
 	level.usage.Add(now, service)
+	s.recordStart(now, level, req.Call, service)
 	level.credit = max(0, level.credit-service)
 	for _, lower := range s.levels {
 		if lower.priority > level.priority && s.earnsCredit(now, lower) {
@@ -410,11 +426,12 @@
 // wait until the level has earned all of the credit for it, so that refusals count too,
 // up to the credit for one request.
 func (s *Scheduler) earnsCredit(now time.Time, level *priorityLevel) bool {
-	if len(level.queue) > 0 {
+	if level.waiting() > 0 {
 		return true
 	}
 	_, limited := s.rate.Rate()
-	return limited && now.Sub(level.refusedAt) < usageHalfLife && level.credit < s.meanServiceTime.Seconds()
+	refused := (limited && now.Sub(level.refusedAt) < usageHalfLife) || now.Sub(level.calls.refusedAt) < usageHalfLife
+	return refused && level.credit < s.meanServiceTime.Seconds()
 }
 
 // admitWaiting admits waiting requests while slots are free and the rate limit allows
@@ -426,7 +443,7 @@
 		if w == nil {
 			return
 		}
-		s.takeSlot(now, level, w.Route)
+		s.takeSlot(now, level, w.Request)
 		w.done <- nil
 	}
 	if s.queued() > 0 {
@@ -439,6 +456,7 @@
 // for which that queue has no room, or that cannot end before their deadline.
 func (s *Scheduler) demoteLate(now time.Time) {
 	for _, level := range s.levels {
+		s.rejectLateCalls(now, level)
 		keep := level.queue[:0]
 		for _, w := range level.queue {
 			service := s.serviceTime(w.Route)
@@ -463,22 +481,21 @@
 func (s *Scheduler) dequeue(now time.Time) (*priorityLevel, *waiter) {
 	var first *priorityLevel
 	for _, level := range s.levels {
-		if len(level.queue) == 0 {
+		next := s.next(level)
+		if next == nil {
 			continue
 		}
 		if first == nil {
 			first = level
 			continue
 		}
-		if level.credit >= s.serviceTime(level.queue[0].Route).Seconds() {
+		if level.credit >= s.serviceTime(next.Route).Seconds() {
 			first = level // it has earned enough credit to run before the higher level
 			break
 		}
 	}
 	if first != nil {
-		w := first.queue[0]
-		first.queue = first.queue[1:]
-		return first, w
+		return first, s.takeNext(first)
 	}
 	for _, level := range s.levels {
 		for len(level.late) > 0 {
@@ -498,7 +515,7 @@
 func (s *Scheduler) abandon(w *waiter, now time.Time, res outcome.Result) (*Permit, outcome.Result) {
 	s.mu.Lock()
 	level := s.levelOf(w.Priority)
-	removed := remove(&level.queue, w) || remove(&level.late, w)
+	removed := remove(&level.calls.queue, w) || remove(&level.queue, w) || remove(&level.late, w)
 	s.mu.Unlock()
 	if removed {
 		return nil, res
@@ -600,7 +617,7 @@
 func (s *Scheduler) queued() int {
 	n := 0
 	for _, level := range s.levels {
-		n += len(level.queue) + len(level.late)
+		n += level.waiting() + len(level.late)
 	}
 	return n
 }
