Recognize calls of targets, and admit fewer requests whose calls fail

A request whose ID names a request that the local target is running is a call: it gets the priority of that request and an objective equal to its deadline, and is marked for the daemon of the called target (Forward.call, parent_route). If that rejects it as overloaded, it is sent to up to two other targets of a shared service. The results of calls go to core/callpath; new requests of a route whose calls fail end with the reason calls_failing before they get a slot.

Tests are without a network; no deployment was measured.

--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -79,6 +79,7 @@
 	NoService     Reason = "no_service"     // the settings contain no such service
 	Starting      Reason = "starting"       // the daemon has not read the log yet
 	Overloaded    Reason = "overloaded"     // the queue is too long for the request to end in time
+	CallsFailing  Reason = "calls_failing"  // calls that targets make for such requests fail
 	QueueFull     Reason = "queue_full"     // the queue holds too many requests
 	Draining      Reason = "draining"       // the daemon or its target is about to leave the fleet
 	Shed          Reason = "shed"           // the target refused the request and did not run it
--- a/core/request/request.go
+++ b/core/request/request.go
@@ -85,7 +85,12 @@
 	Route     string
 	Priority  int
 	Objective time.Time
-	Method    string
+	// Call is set if a target makes the request for another one that it is running, its
+	// parent, and ParentRoute is then the route of the parent. Priority is then that of the
+	// parent, and Objective is Deadline.
+	Call        bool
+	ParentRoute string
+	Method      string
 	// Path is the escaped path with its query string, as sent to the target.
 	Path   string
 	Header http.Header
--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -225,6 +225,8 @@
 		Priority:      uint32(max(head.Priority, 0)),
 		ObjectiveUs:   head.Objective.Sub(now).Microseconds(),
 		Target:        toNotice(head.Target),
+		Call:          head.Call,
+		ParentRoute:   head.ParentRoute,
 	}
 	carrier := propagation.MapCarrier{}
 	otel.GetTextMapPropagator().Inject(ctx, carrier)
--- a/io/forward/serve.go
+++ b/io/forward/serve.go
@@ -69,6 +69,8 @@
 		Priority:      int(fwd.Priority),
 		Objective:     receivedAt.Add(time.Duration(fwd.ObjectiveUs) * time.Microsecond),
 		Target:        fromNotice(fwd.Target),
+		Call:          fwd.Call,
+		ParentRoute:   fwd.ParentRoute,
 	}
 }
 
--- a/io/mesh/admission.go
+++ b/io/mesh/admission.go
@@ -85,7 +85,8 @@
 		"outcome", res.String(), "reason", reasonOf(res), "queued_ms", queued.Milliseconds(), "ran_ms", ran.Milliseconds(),
 		"objective_left_ms", head.Objective.Sub(times.arrivedAt).Milliseconds(), "running", load.Running, "queued", load.Queued,
 		"limit", load.Limit, "lease_left_ms", left.Milliseconds(), "directory", version, "instance", t.Instance,
-		"target_down", t.down, "target_leaving", !t.leavingSince.IsZero(), "target_heard_ms", now.Sub(t.heardAt).Milliseconds())
+		"target_down", t.down, "target_leaving", !t.leavingSince.IsZero(), "target_heard_ms", now.Sub(t.heardAt).Milliseconds(),
+		"parent_route", head.ParentRoute)
 }
 
 // runOnTarget runs a request as runRequest does, without logging, and records
@@ -108,11 +109,15 @@
 		m.keyLoad.Add(now, key, targetTime)
 	}
 	m.mu.Unlock()
+	if refusal := m.callPathRefusal(boottime.Now(), head); refusal != nil {
+		return refusal
+	}
 	permit, refusal := m.scheduler.Acquire(ctx, boottime.Now(), scheduling.Request{
 		Route:     head.Route,
 		Priority:  head.Priority,
 		Objective: head.Objective,
 		Deadline:  head.Deadline,
+		Call:      head.Call,
 	})
 	if refusal != nil {
 		return refusal
@@ -303,6 +308,7 @@
 	}
 	r.process, r.sentAt = m.target.process(), now
 	m.running[r] = struct{}{}
+	m.callPaths.started(r)
 	m.recordSent(now)
 	return nil
 }
--- a/io/mesh/ingress.go
+++ b/io/mesh/ingress.go
@@ -55,6 +55,9 @@
 	PathAndQuery string
 	Header       http.Header
 	ID           string
+	// ParentID is the ID of the request that the request is a call for, according to its
+	// own ID; empty if that names none.
+	ParentID string
 	// Key is the key in a divided service, a decimal number from 0 to 65535;
 	// empty if the caller sent none.
 	Key    string
@@ -124,6 +127,10 @@
 	headHash    uint64
 	fingerprint quarantine.Fingerprint
 	onTrial     bool
+	// parent is the request that the request is a call for, or nil if it is no call. answer then
+	// records the status of its answer.
+	parent *run
+	answer *statusSink
 	// bodyConsumed is set once a body that can be read only once has been read.
 	bodyConsumed bool
 }
@@ -143,6 +150,7 @@
 		return Refused{NotRun: outcome.NotRun{Reason: outcome.TooLarge}, Status: http.StatusRequestEntityTooLarge}
 	}
 	c := m.newCall(req, route, sink)
+	m.recognizeCall(c)
 	if svc, ok := table.Service(c.head.Service); ok {
 		c.divided = svc.Divided
 	}
@@ -161,6 +169,7 @@
 		res = m.sendWithRetries(ctx, c)
 	}
 	m.metrics.recordOutcome(res, boottime.Now().Sub(req.ReceivedAt))
+	m.recordCall(boottime.Now(), c, res)
 	m.logOutcome(c, table, res)
 	return res
 }
@@ -211,6 +220,9 @@
 	m.budget.Deposit(int(100 * m.cfg.RetryRatio * budgetFraction))
 	policy := retry.Policy{MaxAttempts: c.route.MaxAttempts}
 	ownerWaitEnd := c.req.ReceivedAt.Add(time.Duration(float64(c.route.LatencyObjective) * ownerWaitFraction))
+	if c.parent != nil {
+		ownerWaitEnd = c.head.Deadline // the parent loses its work if the call is rejected
+	}
 	for {
 		if refusal := m.quarantineRefusal(ctx, c); refusal != nil {
 			return refusal
@@ -225,8 +237,11 @@
 		if retry.OwnerUnavailable(res) && now.After(ownerWaitEnd) && m.ownerOf(c) == previousOwner {
 			return m.withRetryAfter(c, res)
 		}
-		if c.divided && reasonOf(res) == outcome.Overloaded {
-			return res // a divided service has no other target for the key
+		if reason := reasonOf(res); reason == outcome.CallsFailing || (c.divided && reason == outcome.Overloaded) {
+			return res // a divided service has no other target for the key, and calls fail elsewhere as well
+		}
+		if m.mayTryElsewhere(c, res) {
+			continue
 		}
 		delay, retryable := policy.NextDelay(now, c.head.Deadline, res, c.head.Idempotent, c.attempts, m.budget)
 		if !retryable || ctx.Err() != nil {
@@ -451,6 +466,9 @@
 		"late_ms", now.Sub(c.head.Objective).Milliseconds(), "config", table.Version, "directory", version, "store_ok", storeOK,
 		"owner", owner, "fence", fence, "report_age_ms", age.Milliseconds(),
 	}
+	if c.parent != nil {
+		fields = append(fields, "parent", c.parent.head.ID, "parent_route", c.head.ParentRoute)
+	}
 	if c.fingerprint != (quarantine.Fingerprint{}) {
 		fields = append(fields, "fingerprint", c.fingerprint.String())
 	}
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -33,7 +33,8 @@
 // attempt ends early when another member has taken over the owner's keys (attempts.go).
 // The owner's daemon admits the request and sends it to its target (admission.go). Targets
 // state limits and their shutdown in answers (notice.go); peernotices.go keeps what the
-// targets of other daemons stated. Requests that may crash targets are known from the ends
+// targets of other daemons stated. Calls that a target makes for a request are recognized, and
+// requests whose calls fail are limited (calls.go). Requests that may crash targets are known from the ends
 // of targets (running.go), agreed among the daemons, and rejected (suspects.go).
 //
 // The interfaces Store and Target hide the platform. The target's heartbeats and
@@ -287,6 +288,9 @@
 	// whose connection was cut while the target's process seemed to go on.
 	running map[*run]struct{}
 	cutRuns []*run
+	// callPaths holds the requests that the target is running by ID, and limits those of
+	// routes whose calls fail.
+	callPaths callPaths
 	// attempts holds the attempts in progress to send requests to the owners of their keys.
 	attempts map[*attempt]struct{}
 	// suspects holds the requests that may crash targets, completions those that the
--- a/io/mesh/metrics.go
+++ b/io/mesh/metrics.go
@@ -44,6 +44,9 @@
 	// suspects is the number of requests that were running during a crash and are not
 	// forgotten, and quarantined that of those that are rejected.
 	suspects, quarantined tally.Gauge
+	// rejectedForCalls counts the requests that were rejected because the calls of their route
+	// fail.
+	rejectedForCalls *counter
 	// storeEra is the era of the store.
 	storeEra   tally.Gauge
 	timerLag   lagRecorder
@@ -79,6 +82,7 @@
 		targetCrashes:     newCounter(scope, "target_crashes"),
 		suspects:          scope.Gauge("suspects"),
 		quarantined:       scope.Gauge("suspects_quarantined"),
+		rejectedForCalls:  newCounter(scope, "requests_rejected_for_calls"),
 		storeEra:          scope.Gauge("store_era"),
 		sentRate:          scope.Gauge("target_requests_per_second"),
 		timerLag:          lagRecorder{histogram: scope.Histogram("timer_lag", buckets)},
--- a/io/mesh/running.go
+++ b/io/mesh/running.go
@@ -47,6 +47,8 @@
 	// that was, if the process seemed to go on.
 	cut   bool
 	cutAt time.Time
+	// calls is the number of calls that the target has made for the request (callPaths).
+	calls int
 	// onTrial is set if the request was a suspect when it was sent, and crashed once it is
 	// quarantined because the target's process has ended.
 	onTrial, crashed bool
@@ -107,6 +109,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.running, r)
+	m.callPaths.ended(boottime.Now(), r)
 	if r.onTrial {
 		m.suspects.EndTrial(r.fingerprint)
 	}
@@ -208,6 +211,7 @@
 		if r.process == p {
 			runs = append(runs, r)
 			delete(m.running, r)
+			m.callPaths.ended(now, r)
 		}
 	}
 	for _, r := range m.cutRuns {
--- a/io/mesh/usage.go
+++ b/io/mesh/usage.go
@@ -60,6 +60,7 @@
 	return m.runEvery(usageInterval, func(now time.Time) {
 		m.reportLimit(now)
 		m.expireSuspects(now)
+		m.reportCallPaths(now)
 		used := cpuTime()
 		c := m.metrics
 		goroutines, heap := runtimeUsage()
