--- a/io/mesh/metrics.go
+++ b/io/mesh/metrics.go
@@ -57,6 +57,9 @@
 	// that were not sent to the target because its zone is evacuated.
 	evacuatedZones    tally.Gauge
 	rejectedEvacuated *counter
+	// rejectedForCalls counts the requests that were rejected because the calls of their route
+	// fail.
+	rejectedForCalls *counter
 	// storeEra is the era of the store.
 	storeEra   tally.Gauge
 	timerLag   lagRecorder
@@ -99,6 +102,7 @@
 		quarantined:       scope.Gauge("suspects_quarantined"),
 		evacuatedZones:    scope.Gauge("evacuated_zones"),
 		rejectedEvacuated: newCounter(scope, "requests_rejected_evacuated"),
+		rejectedForCalls:  newCounter(scope, "requests_rejected_for_calls"),
 		storeEra:          scope.Gauge("store_era"),
 		sentRate:          scope.Gauge("target_requests_per_second"),
 		timerLag:          lagRecorder{histogram: scope.Histogram("timer_lag", buckets)},
