--- a/core/scheduling/calls_test.go
+++ b/core/scheduling/calls_test.go
@@ -278,7 +278,7 @@
 				return
 			}
 			require.False(t, w.late)
-			require.Equal(t, time.Duration(row.timeout-100)*time.Millisecond, w.maxWait(at(0)))
+			require.Equal(t, time.Duration(row.timeout-100)*time.Millisecond, w.maxWait)
 			permits[0].Done(at(row.timeout-100), Unused)
 			require.Len(t, w.done, 1)
 			require.Nil(t, <-w.done)
