Read under the lock how long a request may wait

The race detector reported the read of waiter.late in Acquire beside its write in demoteLate (also on: TestRateLimitServesTheWrongCallers with -race).

Also test that calls of a route to itself end when they have filled all slots.

--- a/core/scheduling/scheduling.go
+++ b/core/scheduling/scheduling.go
@@ -197,7 +197,8 @@
 	if w == nil {
 		return &Permit{scheduler: s, req: req, sentAt: now}, nil
 	}
-	timer := time.NewTimer(w.maxWait(now))
+	wait := s.maxWait(w, now)
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case res := <-w.done:
@@ -206,12 +207,19 @@
 		}
 		return &Permit{scheduler: s, req: req, sentAt: now}, nil
 	case <-timer.C:
-		return s.abandon(w, now, outcome.NotRun{Reason: outcome.Overloaded, RetryAfter: s.retryAfterWait(w, now.Add(w.maxWait(now)))})
+		return s.abandon(w, now, outcome.NotRun{Reason: outcome.Overloaded, RetryAfter: s.retryAfterWait(w, now.Add(wait))})
 	case <-ctx.Done():
 		return s.abandon(w, now, outcome.NotRun{Reason: outcome.Cancelled})
 	}
 }
 
+// maxWait returns the maximum time that w, which may be in a queue, waits there.
+func (s *Scheduler) maxWait(w *waiter, now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return w.maxWait(now)
+}
+
 // maxWait returns the maximum time that w waits in its queue: as long as it may
 // still be answered within its objective or a little later. For a late request it
 // is maxLateWait; for any other it is the time until its objective plus
--- a/io/mesh/calls_test.go
+++ b/io/mesh/calls_test.go
@@ -278,3 +278,29 @@
 		})
 	}
 }
+
+// TestCallsOfTheirOwnRouteEnd guards against requests that wait for one another beyond their deadline, and against a
+// route that stays limited because its own calls are: each run calls its own route, until no slot is left.
+func TestCallsOfTheirOwnRouteEnd(t *testing.T) {
+	deepest, most := 0, 100
+	m := newCallingMesh(t, func(m *Mesh, head *request.Head) int {
+		depth := strings.Count(head.ID, ".")
+		deepest = max(deepest, depth)
+		if depth < most && m.serve("lookup", head.ID+".1", head.ID, time.Second) != (outcome.Answered{Status: http.StatusOK}) {
+			return http.StatusInternalServerError
+		}
+		return http.StatusOK
+	})
+	started := boottime.Now()
+	require.Equal(t, outcome.Answered{Status: http.StatusInternalServerError}, m.serve("lookup", "a", "", time.Second))
+	require.Less(t, boottime.Now().Sub(started), time.Second, "the deadline is after 400 ms")
+	require.Equal(t, 7, deepest, "the target has 8 slots")
+	require.Zero(t, m.scheduler.Load().Running)
+	most = 3
+	for i := range 5 { // the failures have limited the route, but not its calls
+		if res := m.serve("lookup", fmt.Sprint(i), "", time.Second); reasonOf(res) != outcome.CallsFailing {
+			require.Equal(t, outcome.Answered{Status: http.StatusOK}, res)
+		}
+	}
+	require.Equal(t, outcome.Answered{Status: http.StatusOK}, m.serve("view", "b", "", time.Second))
+}
