Reserve the returns of rejected callers

Rejected callers were told about the same time and were rejected again when they returned. Each rejection by a target's queue now reserves the time at which the target is expected to have capacity for it, after the work that waits and the returns reserved before; if new requests leave no capacity, returns are spread over the time that the caller may wait.

--- a/core/scheduling/scheduling.go
+++ b/core/scheduling/scheduling.go
@@ -6,8 +6,8 @@
 // in time: an answer after the latency objective is worth little. A request is
 // therefore admitted to the queue only if it is expected to end within its
 // objective. Otherwise it is refused at once, and the refusal says after how long
-// a slot is expected to be free. A Scheduler never has more requests at the
-// target than the target has slots.
+// the target is expected to have capacity for it (package returns). A Scheduler
+// never has more requests at the target than the target has slots.
 //
 //   - Order. Requests with a higher priority run first. A lower priority level
 //     that has waiting requests gets at least a minimum share of the service
@@ -47,13 +47,13 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
 	"siskinknot/core/decay"
 	"siskinknot/core/outcome"
 	"siskinknot/core/ratelimit"
+	"siskinknot/core/returns"
 )
 
 const (
@@ -72,7 +72,7 @@
 	// until requests have been measured.
 	defaultServiceTime = 50 * time.Millisecond
 	// minRetryAfter keeps refused callers from retrying at once.
-	minRetryAfter = 50 * time.Millisecond
+	minRetryAfter = returns.MinDelay
 )
 
 // Request holds the properties of a request that a Scheduler uses.
@@ -87,6 +87,8 @@
 	Objective time.Time
 	// Deadline is the time by which the request has to end.
 	Deadline time.Time
+	// Returned is set if the caller sends the request again after a rejection.
+	Returned bool
 }
 
 // waiter is a request in a queue.
@@ -115,6 +117,9 @@
 	// refused.
 	admitted  decay.Rate
 	refusedAt time.Time
+	// newWork is the rate of the service time that new requests ask for, admitted or not, in
+	// seconds per second. Requests that return are not new.
+	newWork decay.Rate
 }
 
 // Scheduler schedules the requests of one target. It is safe for concurrent use.
@@ -135,11 +140,16 @@
 	// meanServiceTime the one over all routes.
 	serviceTimes    map[string]time.Duration
 	meanServiceTime time.Duration
+	// returns holds the returns of rejected callers.
+	returns *returns.Book
 }
 
 // New returns a Scheduler for a target with the given number of slots.
 func New(slots int) *Scheduler {
-	return &Scheduler{slots: slots, limit: float64(slots), serviceTimes: map[string]time.Duration{}, meanServiceTime: defaultServiceTime}
+	return &Scheduler{
+		slots: slots, limit: float64(slots), serviceTimes: map[string]time.Duration{}, meanServiceTime: defaultServiceTime,
+		returns: returns.NewBook(),
+	}
 }
 
 // SetSlots changes the number of slots. If it differs from the current one, the
@@ -199,7 +209,7 @@
 		}
 		return &Permit{scheduler: s, req: req, sentAt: now}, nil
 	case <-timer.C:
-		return s.abandon(w, now, outcome.NotRun{Reason: outcome.Overloaded, RetryAfter: s.retryAfterWait(w, now.Add(w.maxWait(now)))})
+		return s.abandon(w, now, s.rejectWaiter(w, now.Add(w.maxWait(now))))
 	case <-ctx.Done():
 		return s.abandon(w, now, outcome.NotRun{Reason: outcome.Cancelled})
 	}
@@ -230,6 +240,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	level := s.levelOf(req.Priority)
+	if !req.Returned {
+		level.newWork.Add(now, s.serviceTime(req.Route).Seconds())
+	}
 	if s.mayStart(now) && !s.anyWaiting() {
 		s.takeSlot(now, level, req.Route)
 		return nil, nil
@@ -237,8 +250,7 @@
 	service := s.serviceTime(req.Route)
 	wait := s.expectedWait(now, level)
 	w := &waiter{Request: req, since: now, done: make(chan outcome.Result, 1)}
-	over := now.Add(wait + service).Sub(req.Objective)
-	if over <= 0 {
+	if end := now.Add(wait + service); !end.After(req.Objective) && !end.After(req.Deadline) {
 		level.queue = append(level.queue, w)
 		s.wakeWithToken(now)
 		return w, nil
@@ -250,24 +262,7 @@
 		return w, nil
 	}
 	level.refusedAt = now
-	return nil, outcome.NotRun{Reason: outcome.Overloaded, RetryAfter: retryDelay(over)}
-}
-
-// retryAfterWait returns the delay before the retry of a request that has waited for
-// as long as it may, until now. With a rate limit it is the time until the requests
-// that now wait have got their tokens.
-func (s *Scheduler) retryAfterWait(w *waiter, now time.Time) time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return max(minRetryAfter, s.rateWait(now, s.levelOf(w.Priority)))
-}
-
-// retryDelay returns the delay before the retry of a request that would end later
-// than its objective by over. Random jitter keeps callers from retrying all at
-// once.
-func retryDelay(over time.Duration) time.Duration {
-	over = max(over, minRetryAfter)
-	return over + rand.N(over/2)
+	return nil, s.reject(now, level, req)
 }
 
 // canQueueLate reports whether a request that misses its objective may be queued:
@@ -286,7 +281,10 @@
 			return s.levels[i]
 		}
 	}
-	level := &priorityLevel{priority: priority, usage: decay.Rate{HalfLife: usageHalfLife}, admitted: decay.Rate{HalfLife: usageHalfLife}}
+	level := &priorityLevel{
+		priority: priority, usage: decay.Rate{HalfLife: usageHalfLife}, admitted: decay.Rate{HalfLife: usageHalfLife},
+		newWork: decay.Rate{HalfLife: newWorkHalfLife},
+	}
 	s.levels = append(s.levels[:i], append([]*priorityLevel{level}, s.levels[i:]...)...)
 	return level
 }
@@ -449,7 +447,7 @@
 				w.late = true
 				level.late = append(level.late, w)
 			default:
-				w.done <- outcome.NotRun{Reason: outcome.Overloaded, RetryAfter: retryDelay(s.expectedWait(now, level))}
+				w.done <- s.reject(now, level, w.Request)
 			}
 		}
 		clear(level.queue[len(keep):])
