Redirect requests that a daemon rejects before its target

A request to a shared service that the daemon of an overloaded target had rejected waited at the ingress daemon for the time that the caller would have been told, and its retry was taken from the retry budget although no target had received it. If none accepts it, the caller is told the earliest of the times at once.

MaxAttempts counts the attempts that reached a target. A target's daemon tells new requests from returned ones by the objective, which counts from the caller's first attempt. New metrics: retry_after, redirects, redirects_taken.

--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -110,11 +110,12 @@
 	services map[string]Service
 	// byHost holds the routes by host name in lower case, longest prefix first.
 	byHost map[string][]*Route
+	byName map[string]*Route
 }
 
 // New returns a Table, or an error that describes the first invalid route.
 func New(version uint64, routes []Route, services []Service, limits Limits) (*Table, error) {
-	t := &Table{Version: version, Limits: limits, services: map[string]Service{}, byHost: map[string][]*Route{}}
+	t := &Table{Version: version, Limits: limits, services: map[string]Service{}, byHost: map[string][]*Route{}, byName: map[string]*Route{}}
 	for _, s := range services {
 		t.services[s.Name] = s
 	}
@@ -124,6 +125,7 @@
 		}
 		host := strings.ToLower(r.Host)
 		t.byHost[host] = append(t.byHost[host], &r)
+		t.byName[r.Name] = &r
 	}
 	for _, list := range t.byHost {
 		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.PathPrefix) - len(a.PathPrefix) })
@@ -169,6 +171,12 @@
 	return s, ok
 }
 
+// Route returns the route with the given name, and false if there is none.
+func (t *Table) Route(name string) (*Route, bool) {
+	r, ok := t.byName[name]
+	return r, ok
+}
+
 // Match returns the route for a request with the given Host header and path, and
 // false if there is none.
 func (t *Table) Match(host, path string) (*Route, bool) {
--- a/io/mesh/admission.go
+++ b/io/mesh/admission.go
@@ -103,6 +103,7 @@
 		}
 	}
 	m.mu.Lock()
+	returned := m.hasReturned(times.arrivedAt, head)
 	targetTime := m.demand.RecordArrival(now, head.Class)
 	if divided {
 		m.keyLoad.Add(now, key, targetTime)
@@ -113,6 +114,7 @@
 		Priority:  head.Priority,
 		Objective: head.Objective,
 		Deadline:  head.Deadline,
+		Returned:  returned,
 	})
 	if refusal != nil {
 		return refusal
--- a/io/mesh/grants_test.go
+++ b/io/mesh/grants_test.go
@@ -34,6 +34,7 @@
 		knownMembers: map[netip.AddrPort]*directory.Member{},
 		leases:       tenure.New(self),
 		budget:       retry.NewBudget(0),
+		redirects:    newRedirects(),
 		changed:      make(chan struct{}),
 		wake:         make(chan struct{}, 1),
 		metrics:      newMetrics(tally.NoopScope),
--- a/io/mesh/ingress.go
+++ b/io/mesh/ingress.go
@@ -111,10 +111,12 @@
 	head  *request.Head
 	route *routing.Route
 	sink  Sink
-	// attempts counts the attempts, and triedTargets lists the targets of a
-	// shared service that were tried.
-	attempts     int
-	triedTargets []netip.AddrPort
+	// attempts counts the attempts, unreached those of them that reached no target, and
+	// triedTargets lists the targets of a shared service that were tried.
+	attempts, unreached int
+	triedTargets        []netip.AddrPort
+	// redirected counts the times that the request was redirected.
+	redirected int
 	// divided is set if the service is divided; key is then the request's key.
 	divided bool
 	key     uint16
@@ -209,7 +211,7 @@
 // sendWithRetries sends a request until it is answered or may not be retried.
 func (m *Mesh) sendWithRetries(ctx context.Context, c *call) outcome.Result {
 	m.budget.Deposit(int(100 * m.cfg.RetryRatio * budgetFraction))
-	policy := retry.Policy{MaxAttempts: c.route.MaxAttempts}
+	m.redirects.addRequest()
 	ownerWaitEnd := c.req.ReceivedAt.Add(time.Duration(float64(c.route.LatencyObjective) * ownerWaitFraction))
 	for {
 		if refusal := m.quarantineRefusal(ctx, c); refusal != nil {
@@ -217,7 +219,10 @@
 		}
 		c.attempts++
 		previousOwner := m.ownerOf(c)
-		res := m.sendOnce(ctx, c)
+		res := m.redirect(ctx, c, m.sendOnce(ctx, c))
+		if !reachedTarget(res) {
+			c.unreached++
+		}
 		if c.sink.Started() || c.bodyConsumed {
 			return res
 		}
@@ -225,9 +230,11 @@
 		if retry.OwnerUnavailable(res) && now.After(ownerWaitEnd) && m.ownerOf(c) == previousOwner {
 			return m.withRetryAfter(c, res)
 		}
-		if c.divided && reasonOf(res) == outcome.Overloaded {
-			return res // a divided service has no other target for the key
+		if reasonOf(res) == outcome.Overloaded {
+			// No other target has room, and a divided service has no other target for the key.
+			return m.withRetryAfter(c, res)
 		}
+		policy := retry.Policy{MaxAttempts: c.route.MaxAttempts + c.unreached}
 		delay, retryable := policy.NextDelay(now, c.head.Deadline, res, c.head.Idempotent, c.attempts, m.budget)
 		if !retryable || ctx.Err() != nil {
 			return m.withRetryAfter(c, res)
@@ -321,6 +328,12 @@
 	if len(local) > 0 {
 		candidates = local
 	}
+	return m.sendToOneOf(ctx, c, now, candidates)
+}
+
+// sendToOneOf chooses one of the candidates, of which there is at least one, and sends the
+// request to it.
+func (m *Mesh) sendToOneOf(ctx context.Context, c *call, now time.Time, candidates []netip.AddrPort) outcome.Result {
 	ids := make([]record.Incarnation, 0, len(candidates))
 	for _, addr := range candidates {
 		ids = append(ids, record.Incarnation(addr.String()))
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -227,6 +227,7 @@
 	metrics      *metrics
 	tomb         tomb.Tomb
 	budget       *retry.Budget
+	redirects    *redirects
 	// scheduler queues the requests for the target.
 	scheduler *scheduling.Scheduler
 	// decodeConfig decodes the operator's configuration document.
@@ -343,6 +344,7 @@
 		metrics:            newMetrics(deps.Metrics),
 		scheduler:          scheduling.New(1),
 		budget:             retry.NewBudget(0),
+		redirects:          newRedirects(),
 		dir:                directory.New(),
 		leases:             tenure.New(cfg.Self),
 		changes:            directory.NewUpdateBuffer(),
--- a/io/mesh/metrics.go
+++ b/io/mesh/metrics.go
@@ -33,6 +33,11 @@
 	// lateOrFailed those of them that were not answered or were answered late.
 	requests, lateOrFailed *counter
 	latency                tally.Histogram
+	// retryAfter holds the delays that rejected callers are told. redirects counts the
+	// requests that were sent to another target because one had rejected them before it
+	// received them, and redirectsTaken those of them that the other did not reject.
+	retryAfter                tally.Histogram
+	redirects, redirectsTaken *counter
 	// sentBeyondLimit counts the requests that were sent to the target while their
 	// rate exceeded the limit that the target names. targetLimit and sentRate are that
 	// limit and rate.
@@ -74,6 +79,9 @@
 		requests:          newCounter(scope, "requests_ended"),
 		lateOrFailed:      newCounter(scope, "requests_late_or_failed"),
 		latency:           scope.Histogram("request_time", buckets),
+		retryAfter:        scope.Histogram("retry_after", buckets),
+		redirects:         newCounter(scope, "redirects"),
+		redirectsTaken:    newCounter(scope, "redirects_taken"),
 		sentBeyondLimit:   newCounter(scope, "target_requests_beyond_limit"),
 		targetLimit:       scope.Gauge("target_limit_per_second"),
 		targetCrashes:     newCounter(scope, "target_crashes"),
@@ -94,6 +102,9 @@
 	m.scope.Tagged(map[string]string{"outcome": res.String(), "reason": string(reasonOf(res))}).Counter("requests").Inc(1)
 	m.latency.RecordDuration(took)
 	m.requests.Inc(1)
+	if notRun, ok := res.(outcome.NotRun); ok && notRun.RetryAfter > 0 {
+		m.retryAfter.RecordDuration(notRun.RetryAfter)
+	}
 }
 
 // reasonOf returns the reason of an outcome other than an answer, or "" for an
