Redirect to targets with a short queue as well

With most slots of all targets in use, a request that one target rejected had no other target with free slots, although others would have answered it within its objective. A target has room if its reported queue, counted twice for the age of the report, leaves time for the request.

Add a benchmark of a rejection by the scheduler.

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -4,7 +4,7 @@
 // It distinguishes two kinds of failures. If the owner of the key is changing or
 // unreachable, the request has put no load on any target, and the ingress daemon,
 // which received it from the caller, may retry it until the deadline. If a target
-// is overloaded or a connection broke, each retry adds load where there is already
+// refuses a request or a connection broke, each retry adds load where there is already
 // too much. Such retries use up a Budget that grows only with incoming requests,
 // so that retries add at most a fixed share to the load.
 //
@@ -78,8 +78,8 @@
 
 // Policy limits the attempts of one request.
 type Policy struct {
-	// MaxAttempts is the maximum number of attempts that put load on the daemon of a
-	// target. It does not limit retries while the owner of the key is unavailable.
+	// MaxAttempts is the maximum number of attempts, which the caller raises by those that
+	// reached no target. It does not limit retries while the owner of the key is unavailable.
 	MaxAttempts int
 }
 
--- a/core/scheduling/returns_test.go
+++ b/core/scheduling/returns_test.go
@@ -245,3 +245,19 @@
 		require.LessOrEqual(t, n, 15, "between %d and %d ms", tenth*100, tenth*100+100)
 	}
 }
+
+// BenchmarkReject measures the rejection of a request while requests of three levels wait.
+func BenchmarkReject(b *testing.B) {
+	s := New(12)
+	for range 60 {
+		for priority := range 3 {
+			_, _ = s.tryAdmit(at(0), request("lookup", priority, 0, 400))
+		}
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		if w, _ := s.tryAdmit(at(1), request("lookup", i%3, 1, 60)); w != nil {
+			b.Fatal("the request is queued")
+		}
+	}
+}
--- a/io/mesh/redirect.go
+++ b/io/mesh/redirect.go
@@ -27,9 +27,11 @@
 	// redirectObjectiveShare is the share of a route's objective that has to be left for
 	// a redirect, and redirectServiceTimes the number of mean service times of the
 	// target: an answer after the objective is worth little, and the target's slot is
-	// better used for another request.
+	// better used for another request. redirectWaitMargin is the factor by which the wait
+	// at the target may exceed the one by its report, which is as old as a heartbeat.
 	redirectObjectiveShare = 0.25
 	redirectServiceTimes   = 1.5
+	redirectWaitMargin     = 2
 	// returnTolerance is how much less than its route's objective a request that is sent
 	// for the first time may have left when it arrives at its target's daemon. Callers
 	// that are told when to return wait longer than that.
@@ -115,9 +117,10 @@
 	}
 }
 
-// targetsWithRoom returns the targets that c may be redirected to: they were not tried, have
-// free slots according to their reports, and have not rejected a request since. Targets in
-// other zones are returned only if there are none in this one.
+// targetsWithRoom returns the targets that c may be redirected to: they were not tried, are
+// expected to answer it within its objective according to their reports, and have not
+// rejected a request since. Those with free slots are preferred to others, and all of this
+// zone to those of other zones.
 func (m *Mesh) targetsWithRoom(now time.Time, c *call) []netip.AddrPort {
 	left := c.head.Objective.Sub(now)
 	if left < time.Duration(float64(c.route.LatencyObjective)*redirectObjectiveShare) {
@@ -126,31 +129,36 @@
 	candidates, _ := m.candidates(now, c)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var local, remote []netip.AddrPort
+	var ranked [4][]netip.AddrPort
 	for _, addr := range candidates {
 		r, known := m.reports[addr]
-		if !known || slices.Contains(c.triedTargets, addr) || !r.hasRoom() || m.redirects.rejectedSince(addr, r.receivedAt) ||
-			left < time.Duration(float64(r.ServiceTime)*redirectServiceTimes) {
+		if !known || slices.Contains(c.triedTargets, addr) || !r.hasRoom(left) || m.redirects.rejectedSince(addr, r.receivedAt) {
 			continue
 		}
-		if member := m.dir.Member(addr); member != nil && member.Zone == m.cfg.Zone {
-			local = append(local, addr)
-		} else {
-			remote = append(remote, addr)
+		rank := 0
+		if member := m.dir.Member(addr); member == nil || member.Zone != m.cfg.Zone {
+			rank += 2
 		}
+		if r.queued > 0 || r.inFlight >= r.Slots {
+			rank++
+		}
+		ranked[rank] = append(ranked[rank], addr)
 	}
-	if len(local) > 0 {
-		return local
+	for _, list := range ranked {
+		if len(list) > 0 {
+			return list
+		}
 	}
-	return remote
+	return nil
 }
 
-// hasRoom reports whether the target had room for another request when it was reported: no
-// request waited, slots were free, and, if the target names a limit of its rate, the load
-// was below that.
-func (r *loadReport) hasRoom() bool {
-	free := r.queued == 0 && float64(r.inFlight) < busyFraction*float64(r.Slots)
-	return free && !r.Cold && (r.MaxRate == 0 || r.Demand < busyFraction*r.Capacity())
+// hasRoom reports whether the target is expected to answer another request within left: the
+// requests that waited when it was reported are expected to run before, and the load is
+// below the limit that the target names, if it names one.
+func (r *loadReport) hasRoom(left time.Duration) bool {
+	wait := float64(r.queued) / float64(max(r.Slots, 1)) * redirectWaitMargin
+	inTime := float64(r.ServiceTime)*(wait+redirectServiceTimes) <= float64(left)
+	return inTime && !r.Cold && (r.MaxRate == 0 || r.Demand < busyFraction*r.Capacity())
 }
 
 // reachedTarget reports whether a request with the result res was sent to a target or may
