--- a/core/balance/choice.go
+++ b/core/balance/choice.go
@@ -58,6 +58,16 @@
 	return chosen
 }
 
+// PickAmong is Pick for candidates that are only some of the targets: the measurements of
+// the others are kept.
+func (c *Chooser) PickAmong(now time.Time, choice string, candidates []record.Incarnation) record.Incarnation {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	chosen := c.pick(now, choice, candidates)
+	c.statsOf(chosen).inFlight++
+	return chosen
+}
+
 func (c *Chooser) pick(now time.Time, choice string, candidates []record.Incarnation) record.Incarnation {
 	switch choice {
 	case RoundRobin:
--- a/core/balance/choice_test.go
+++ b/core/balance/choice_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"siskinknot/core/record"
 )
 
@@ -55,3 +57,19 @@
 		})
 	}
 }
+
+// TestPickAmongForgetsOthers guards against a choice among a few targets that loses the failures of the others.
+func TestPickAmongForgetsOthers(t *testing.T) {
+	now, chooser := time.Unix(1000, 0), NewChooser()
+	all := []record.Incarnation{"a", "b", "c", "d", "e"}
+	for range 50 {
+		chosen := chooser.Pick(now, TwoChoices, all)
+		chooser.Done(now, chosen, time.Millisecond, chosen != "a")
+	}
+	for range 50 {
+		require.Equal(t, record.Incarnation("b"), chooser.PickAmong(now, TwoChoices, all[1:2]))
+		chooser.Done(now, "b", time.Millisecond, true)
+	}
+	require.Len(t, chooser.stats, len(all))
+	require.Positive(t, chooser.stats["a"].failures)
+}
--- a/io/mesh/ingress.go
+++ b/io/mesh/ingress.go
@@ -339,7 +339,11 @@
 		ids = append(ids, record.Incarnation(addr.String()))
 	}
 	chooser := m.choosers.ForService(c.head.Service)
-	chosen := chooser.Pick(now, balance.TwoChoices, ids)
+	pick := chooser.Pick
+	if c.redirected > 0 {
+		pick = chooser.PickAmong
+	}
+	chosen := pick(now, balance.TwoChoices, ids)
 	addr := netip.MustParseAddrPort(string(chosen))
 	c.triedTargets = append(c.triedTargets, addr)
 	res := m.sendTo(ctx, ctx, addr, c)
