--- a/core/scheduling/calls.go
+++ b/core/scheduling/calls.go
@@ -141,9 +141,10 @@
 	wait := max(s.slotWait(now, level, true), s.rateWait(now, level, true))
 	if over := now.Add(wait + service).Sub(req.Deadline); over > 0 {
 		level.calls.refusedAt = now
-		return nil, outcome.NotRun{Reason: outcome.Overloaded, RetryAfter: retryDelay(over)}
+		return nil, outcome.NotRun{Reason: outcome.Overloaded, RetryAfter: max(over, minRetryAfter)}
 	}
 	w := &waiter{Request: req, since: now, startBy: req.Deadline.Add(-service), done: make(chan outcome.Result, 1)}
+	w.maxWait = w.longestWait(now)
 	level.calls.queue = append(level.calls.queue, w)
 	s.wakeWithToken(now)
 	return w, nil
@@ -155,7 +156,7 @@
 	keep := level.calls.queue[:0]
 	for _, w := range level.calls.queue {
 		if service := s.callTime(w.Route); now.Add(service).After(w.Deadline) {
-			w.done <- outcome.NotRun{Reason: outcome.Overloaded, RetryAfter: retryDelay(now.Add(service).Sub(w.Deadline))}
+			w.done <- outcome.NotRun{Reason: outcome.Overloaded, RetryAfter: max(now.Add(service).Sub(w.Deadline), minRetryAfter)}
 			continue
 		}
 		keep = append(keep, w)
--- a/io/mesh/admission.go
+++ b/io/mesh/admission.go
@@ -98,6 +98,7 @@
 	}
 	m.mu.Lock()
 	m.rate.recordArrival(now)
+	returned := m.hasReturned(times.arrivedAt, head)
 	targetTime := m.demand.RecordArrival(now, head.Class)
 	if divided {
 		m.keyLoad.Add(now, key, targetTime)
@@ -112,6 +113,7 @@
 		Objective: head.Objective,
 		Deadline:  head.Deadline,
 		Call:      head.Call,
+		Returned:  returned,
 	})
 	if refusal != nil {
 		m.rate.recordRefusal(boottime.Now(), refusal)
--- a/io/mesh/ingress.go
+++ b/io/mesh/ingress.go
@@ -114,10 +114,12 @@
 	head  *request.Head
 	route *routing.Route
 	sink  Sink
-	// attempts counts the attempts, and triedTargets lists the targets of a
-	// shared service that were tried.
-	attempts     int
-	triedTargets []netip.AddrPort
+	// attempts counts the attempts, unreached those of them that reached no target, and
+	// triedTargets lists the targets of a shared service that were tried.
+	attempts, unreached int
+	triedTargets        []netip.AddrPort
+	// redirected counts the times that the request was redirected.
+	redirected int
 	// avoidedZones has the zones whose members have rejected the request because the zone is
 	// evacuated. allEvacuated is set if no member of the service is left in another zone.
 	avoidedZones []string
@@ -222,7 +224,7 @@
 // sendWithRetries sends a request until it is answered or may not be retried.
 func (m *Mesh) sendWithRetries(ctx context.Context, c *call) outcome.Result {
 	m.budget.Deposit(int(100 * m.cfg.RetryRatio * budgetFraction))
-	policy := retry.Policy{MaxAttempts: c.route.MaxAttempts}
+	m.redirects.addRequest()
 	ownerWaitEnd := c.req.ReceivedAt.Add(time.Duration(float64(c.route.LatencyObjective) * ownerWaitFraction))
 	if c.parent != nil {
 		ownerWaitEnd = c.head.Deadline // the parent loses its work if the call is rejected
@@ -233,7 +235,10 @@
 		}
 		c.attempts++
 		previousOwner := m.ownerOf(c)
-		res := m.sendOnce(ctx, c)
+		res := m.redirect(ctx, c, m.sendOnce(ctx, c))
+		if !reachedTarget(res) {
+			c.unreached++
+		}
 		if c.sink.Started() || c.bodyConsumed {
 			return res
 		}
@@ -244,12 +249,18 @@
 		if c.allEvacuated {
 			return m.withRetryAfter(c, res)
 		}
-		if reason := reasonOf(res); reason == outcome.CallsFailing || (c.divided && reason == outcome.Overloaded) {
-			return res // a divided service has no other target for the key, and calls fail elsewhere as well
-		}
-		if m.mayTryElsewhere(c, res) {
-			continue
+		switch reasonOf(res) {
+		case outcome.CallsFailing:
+			return res // calls fail elsewhere as well
+		case outcome.Overloaded:
+			if m.mayTryElsewhere(c, res) {
+				continue
+			}
+			// No other target has room, and a divided service has no other target for the key.
+			return m.withRetryAfter(c, res)
+		default:
 		}
+		policy := retry.Policy{MaxAttempts: c.route.MaxAttempts + c.unreached}
 		delay, retryable := policy.NextDelay(now, c.head.Deadline, res, c.head.Idempotent, c.attempts, m.budget)
 		if !retryable || ctx.Err() != nil {
 			return m.withRetryAfter(c, res)
@@ -354,12 +365,22 @@
 	if len(local) > 0 {
 		candidates = local
 	}
+	return m.sendToOneOf(ctx, c, now, candidates)
+}
+
+// sendToOneOf chooses one of the candidates, of which there is at least one, and sends the
+// request to it.
+func (m *Mesh) sendToOneOf(ctx context.Context, c *call, now time.Time, candidates []netip.AddrPort) outcome.Result {
 	ids := make([]record.Incarnation, 0, len(candidates))
 	for _, addr := range candidates {
 		ids = append(ids, record.Incarnation(addr.String()))
 	}
 	chooser := m.choosers.ForService(c.head.Service)
-	chosen := chooser.Pick(now, balance.TwoChoices, ids)
+	pick := chooser.Pick
+	if c.redirected > 0 {
+		pick = chooser.PickAmong
+	}
+	chosen := pick(now, balance.TwoChoices, ids)
 	addr := netip.MustParseAddrPort(string(chosen))
 	c.triedTargets = append(c.triedTargets, addr)
 	res := m.sendTo(ctx, ctx, addr, c)
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -237,6 +237,7 @@
 	metrics      *metrics
 	tomb         tomb.Tomb
 	budget       *retry.Budget
+	redirects    *redirects
 	// scheduler queues the requests for the target.
 	scheduler *scheduling.Scheduler
 	// rate limits the rate of the requests for the target.
@@ -363,6 +364,7 @@
 		metrics:            newMetrics(deps.Metrics),
 		scheduler:          scheduling.New(1),
 		budget:             retry.NewBudget(0),
+		redirects:          newRedirects(),
 		dir:                directory.New(),
 		leases:             tenure.New(cfg.Self),
 		changes:            directory.NewUpdateBuffer(),
