--- a/core/request/notice.go
+++ b/core/request/notice.go
@@ -14,4 +14,16 @@
 	// first answer that said so was received.
 	Leaving    bool
 	LeavingFor time.Duration
+	// Load is the target's load at the time of the answer, or nil if the answer has none.
+	// It is not passed on with the notice.
+	Load *ServerLoad
+}
+
+// ServerLoad is the load that a target states in an answer.
+type ServerLoad struct {
+	// Running and Waiting are the numbers of its requests, and Slots that of its slots.
+	Running, Waiting, Slots int
+	// Pace is how long work takes at present as a multiple of the usual time, or 0 if the
+	// target does not say.
+	Pace float64
 }
