--- a/core/scheduling/scheduling.go
+++ b/core/scheduling/scheduling.go
@@ -125,6 +125,8 @@
 	// slots while the target sheds.
 	limit   float64
 	running int
+	// sent holds the permits of the requests that the target runs, for Backlog.
+	sent map[*Permit]struct{}
 	// rate limits the rate of the requests that are sent to the target. wakeDue is set
 	// while a timer is running that admits waiting requests when the next token arrives.
 	rate    ratelimit.Limiter
@@ -139,7 +141,10 @@
 
 // New returns a Scheduler for a target with the given number of slots.
 func New(slots int) *Scheduler {
-	return &Scheduler{slots: slots, limit: float64(slots), serviceTimes: map[string]time.Duration{}, meanServiceTime: defaultServiceTime}
+	return &Scheduler{
+		slots: slots, limit: float64(slots), sent: map[*Permit]struct{}{},
+		serviceTimes: map[string]time.Duration{}, meanServiceTime: defaultServiceTime,
+	}
 }
 
 // SetSlots changes the number of slots. If it differs from the current one, the
@@ -535,7 +540,13 @@
 
 // MarkSent records now as the time at which the request is sent to the target. The
 // service time is measured from then on.
-func (p *Permit) MarkSent(now time.Time) { p.sentAt = now }
+func (p *Permit) MarkSent(now time.Time) {
+	s := p.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p.sentAt = now
+	s.sent[p] = struct{}{}
+}
 
 // Done releases the slot; use says how it was used.
 func (p *Permit) Done(now time.Time, use SlotUse) {
@@ -543,6 +554,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.running--
+	delete(s.sent, p)
 	if use == Unused {
 		s.rate.Return(now)
 	}
