--- a/core/balance/choice.go
+++ b/core/balance/choice.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -49,39 +48,48 @@
 // flight there. An unknown choice counts as TwoChoices. The caller must report the
 // end of the request with Done. Pick panics if there are no candidates.
 func (c *Chooser) Pick(now time.Time, choice string, candidates []record.Incarnation) record.Incarnation {
+	_, chosen := c.PickIndex(now, choice, len(candidates), func(i int) record.Incarnation { return candidates[i] })
+	return chosen
+}
+
+// PickIndex is Pick for n candidates whose ids are returned by id, which it calls for few
+// of them. It also returns the index of the chosen one.
+func (c *Chooser) PickIndex(now time.Time, choice string, n int, id func(i int) record.Incarnation) (int, record.Incarnation) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.prune(candidates)
-	chosen := c.pick(now, choice, candidates)
+	c.prune(n, id)
+	i, chosen := c.pick(now, choice, n, id)
 	s := c.statsOf(chosen)
 	s.inFlight++
-	return chosen
+	return i, chosen
 }
 
-func (c *Chooser) pick(now time.Time, choice string, candidates []record.Incarnation) record.Incarnation {
+func (c *Chooser) pick(now time.Time, choice string, n int, id func(i int) record.Incarnation) (int, record.Incarnation) {
 	switch choice {
 	case RoundRobin:
 		c.next++
-		return candidates[c.next%len(candidates)]
+		return c.next % n, id(c.next % n)
 	case Random:
-		return candidates[rand.N(len(candidates))]
+		i := rand.N(n)
+		return i, id(i)
 	default:
-		return c.pickOfTwo(now, candidates)
+		return c.pickOfTwo(now, n, id)
 	}
 }
 
 // pickOfTwo picks two different candidates at random and returns the one with the
 // lower cost.
-func (c *Chooser) pickOfTwo(now time.Time, candidates []record.Incarnation) record.Incarnation {
-	if len(candidates) == 1 {
-		return candidates[0]
+func (c *Chooser) pickOfTwo(now time.Time, n int, id func(i int) record.Incarnation) (int, record.Incarnation) {
+	if n == 1 {
+		return 0, id(0)
 	}
-	i := rand.N(len(candidates))
-	j := (i + 1 + rand.N(len(candidates)-1)) % len(candidates)
-	if c.cost(now, candidates[j]) < c.cost(now, candidates[i]) {
-		return candidates[j]
+	i := rand.N(n)
+	j := (i + 1 + rand.N(n-1)) % n
+	first, second := id(i), id(j)
+	if c.cost(now, second) < c.cost(now, first) {
+		return j, second
 	}
-	return candidates[i]
+	return i, first
 }
 
 // cost returns the time, in seconds, that a new request is expected to take. It is
@@ -153,12 +161,16 @@
 
 // prune removes the statistics of targets that are no longer candidates and have no
 // request in flight, if there are more than twice as many as candidates.
-func (c *Chooser) prune(candidates []record.Incarnation) {
-	if len(c.stats) <= 2*len(candidates) {
+func (c *Chooser) prune(n int, id func(i int) record.Incarnation) {
+	if len(c.stats) <= 2*n {
 		return
 	}
+	candidates := make(map[record.Incarnation]bool, n)
+	for i := range n {
+		candidates[id(i)] = true
+	}
 	for id, s := range c.stats {
-		if s.inFlight == 0 && !slices.Contains(candidates, id) {
+		if s.inFlight == 0 && !candidates[id] {
 			delete(c.stats, id)
 		}
 	}
