Balance divided services at low load where targets report a pace

The cause: no keys moved from a target below a utilization of 0.25, and none for less than 0.03 per slot, however much the targets differed.

The capacity of a target is divided by its average pace, since its demand is then counted at the usual pace. Without paces nothing changes.

experiment_test.go got a field for reported paces; its other plays are the same.

--- a/core/placement/experiment_test.go
+++ b/core/placement/experiment_test.go
@@ -57,6 +57,8 @@
 	popular uint16
 	hot     []hotRange
 	length  time.Duration
+	// paced is set if the targets report their pace, which is then their time factor.
+	paced bool
 	// plan is the planning policy, or nil if no keys move.
 	plan func([]Load) []Move
 }
@@ -268,6 +270,9 @@
 	t.running[r] = s.now.Add(took)
 	s.at(took, func() {
 		delete(t.running, r)
+		if s.paced {
+			took = time.Duration(float64(took) / t.timeFactor)
+		}
 		t.demand.RecordServed(request.Lookup, took)
 		if s.now.After(r.objective) {
 			s.res.late++
@@ -294,6 +299,9 @@
 		Member: t.addr, Accepting: true, Slots: s.slots,
 		Demand: t.demand.PerSecond(s.now), ServiceTime: t.demand.MeanServiceTime(),
 	}
+	if s.paced {
+		t.report.Pace = t.timeFactor
+	}
 }
 
 // replan makes a plan from the latest reports, starts its moves, and schedules the
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -51,6 +51,10 @@
 	// MaxRate is the number of requests per second that the target accepts, or 0 if it
 	// names no limit.
 	MaxRate float64
+	// Pace is how long work takes at the target, averaged over some seconds, as a multiple
+	// of the usual time, or 0 if it is unknown. If it is known, Demand and ServiceTime are
+	// times at the usual pace.
+	Pace float64
 }
 
 // utilization returns the demand as a share of the target's capacity.
@@ -64,6 +68,9 @@
 	if l.Cold {
 		capacity *= coldFactor
 	}
+	if l.Pace > 0 {
+		capacity /= l.Pace
+	}
 	if l.MaxRate > 0 && l.ServiceTime > 0 {
 		capacity = min(capacity, l.MaxRate*l.ServiceTime.Seconds())
 	}
@@ -135,10 +142,11 @@
 	}
 	slices.SortFunc(usable, func(a, b Load) int { return cmp.Compare(b.utilization(), a.utilization()) })
 	mean := meanUtilization(usable)
+	limits := limitsOf(usable, mean)
 	var moves []Move
 	end := len(usable) // usable[end:] already receive keys in this plan
 	for i := 0; i < end && len(moves) < maxPlannedMoves; i++ {
-		added := movesFrom(usable[i], usable[i+1:end], mean)
+		added := movesFrom(usable[i], usable[i+1:end], mean, limits)
 		if len(added) == 0 {
 			break
 		}
@@ -150,15 +158,15 @@
 
 // movesFrom returns the moves from one owner to receivers, which are ordered by
 // utilization with the least loaded last. mean is the mean utilization.
-func movesFrom(from Load, receivers []Load, mean float64) []Move {
+func movesFrom(from Load, receivers []Load, mean float64, limits moveLimits) []Move {
 	var moves []Move
 	for i := len(receivers) - 1; i >= 0 && len(moves) < MaxMoves; i-- {
 		to := receivers[i]
-		if from.utilization() < overloadRatio*mean || from.utilization() < minUtilization || to.utilization() > mean {
+		if from.utilization() < limits.overloadRatio(from)*mean || from.utilization() < limits.minUtilization || to.utilization() > mean {
 			break
 		}
 		demand := min(balancingDemand(from, to), from.Demand-mean*from.Capacity())
-		if demand < minMoveDemand*float64(from.Slots) {
+		if demand < limits.minMoveDemand*float64(from.Slots) {
 			break
 		}
 		moves = append(moves, Move{From: from.Member, To: to.Member, Demand: demand})
