Choose targets of shared services by the expected end of requests

Callers of a service whose targets differ in speed, or become slow for some hundred milliseconds, waited at slow targets: daemons knew numbers of requests that were seconds old and their own measurements.

Daemons now measure the pace of their target and the times of routes at the usual pace, and send the remaining work, the pace and the route's time in heartbeats and with the end of each forwarded request. Once a target of a service has reported a pace, ingress daemons compare three random targets of their zone and three others by the expected end there (core/workload). All others keep the former choice, and send no load with ends.

--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -85,6 +85,15 @@
 	Notice(notice *request.TargetNotice)
 }
 
+// LoadSink is a Sink that also receives the load of the target beside the daemon that ends
+// the request.
+type LoadSink interface {
+	Sink
+	// Load receives the load that comes with the end of the request, whether it was
+	// answered or not.
+	Load(load *peerpb.TargetLoad)
+}
+
 // sessionPurpose returns the purpose of the sessions that carry requests of class.
 func sessionPurpose(class request.Class) peer.Purpose {
 	if class == request.Bulk {
@@ -200,6 +209,7 @@
 			return outcome.Unknown{Reason: outcome.Cancelled}, false
 		}
 		if part.Last {
+			passLoad(part.End, sink)
 			return fromEnd(part.End), body.IsInline || stopBody(stream, body, sent)
 		}
 	}
@@ -276,6 +286,13 @@
 	return nil
 }
 
+// passLoad passes the load that comes with end, if any, to sink.
+func passLoad(end *peerpb.End, sink Sink) {
+	if loadSink, ok := sink.(LoadSink); ok && end.GetLoad() != nil {
+		loadSink.Load(end.Load)
+	}
+}
+
 // sendBody sends the body in pieces and reports whether all of it was sent. If
 // reading the body fails, sendBody closes the stream without a last Part, which
 // tells the owner that the caller is gone.
--- a/io/forward/serve.go
+++ b/io/forward/serve.go
@@ -80,6 +80,8 @@
 	pending *peerpb.Part
 	// notice is what the answer states about the target, or nil.
 	notice *request.TargetNotice
+	// load is the load to send with the end, or nil.
+	load *peerpb.TargetLoad
 }
 
 // Body implements Exchange.
@@ -93,6 +95,9 @@
 // Notice implements NoticeSink.
 func (e *streamExchange) Notice(notice *request.TargetNotice) { e.notice = notice }
 
+// Load implements LoadSink.
+func (e *streamExchange) Load(load *peerpb.TargetLoad) { e.load = load }
+
 // Head implements Sink.
 func (e *streamExchange) Head(status int, header http.Header, contentLength int64) error {
 	e.pending = &peerpb.Part{Head: &peerpb.AnswerHead{
@@ -138,5 +143,6 @@
 	}
 	part.Last = true
 	part.End = toEnd(res)
+	part.End.Load = e.load
 	_ = e.in.Write(part)
 }
--- a/io/mesh/admission.go
+++ b/io/mesh/admission.go
@@ -120,12 +120,14 @@
 	started := boottime.Now()
 	times.admittedAt = started
 	permit.MarkSent(started)
+	pace, _ := m.meter.Pace(started)
 	res, use := m.sendToTarget(ctx, head, ex, key, divided, times)
 	ended := boottime.Now()
 	permit.Done(ended, use)
 	if use == scheduling.Served {
+		atUsualPace := m.meter.RecordServed(started, ended, head.Route, pace)
 		m.mu.Lock()
-		m.demand.RecordServed(head.Class, ended.Sub(started))
+		m.demand.RecordServed(head.Class, atUsualPace)
 		if divided && times.targetWarm {
 			m.serviceTimes.Add(ended.Sub(started), times.cutOff(ended, res))
 		}
@@ -255,6 +257,7 @@
 	resp, notice, res := m.targetClient.Send(ctx, head, body, r.process.instance)
 	if notice != nil {
 		m.recordNotice(boottime.Now(), notice)
+		m.recordServerLoad(boottime.Now(), notice.Load)
 	}
 	if res != nil {
 		return m.handleFailure(m.endRun(ctx, r, res), r.process, key, divided)
--- a/io/mesh/heartbeat.go
+++ b/io/mesh/heartbeat.go
@@ -10,6 +10,7 @@
 	"siskinknot/core/directory"
 	"siskinknot/core/placement"
 	"siskinknot/core/tenure"
+	"siskinknot/core/workload"
 	"siskinknot/io/boottime"
 	"siskinknot/io/peer"
 	"siskinknot/io/peer/peerpb"
@@ -182,11 +183,15 @@
 			Demand:      nonNegative(load.Demand),
 			ServiceTime: time.Duration(min(load.ServiceUs, maxServiceUs)) * time.Microsecond,
 			MaxRate:     nonNegative(load.MaxRate),
+			Pace:        workload.ValidPace(load.Pace),
 		},
 		receivedAt: now,
 		inFlight:   int(load.InFlight),
 		queued:     int(load.Queued),
 	}
+	if member := m.dir.Member(from); member != nil && from != m.cfg.Self {
+		m.recordWorkload(now, member.Service, from, load)
+	}
 }
 
 // nonNegative returns x, or 0 if x is negative or not a finite number.
@@ -201,7 +206,10 @@
 // mutex.
 func (m *Mesh) ownLoad(now time.Time) *peerpb.TargetLoad {
 	load := m.scheduler.Load()
+	backlog, pace := m.ownBacklog(now)
 	return &peerpb.TargetLoad{
+		BacklogUs: uint64(backlog.Microseconds()),
+		Pace:      pace,
 		Accepting: m.target.accepting() && !m.leaving,
 		Cold:      now.Before(m.target.coldUntil),
 		Slots:     uint32(max(m.target.Slots, 0)),
--- a/io/mesh/ingress.go
+++ b/io/mesh/ingress.go
@@ -7,22 +7,19 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"slices"
 	"strconv"
 	"time"
 
-	"siskinknot/core/balance"
 	"siskinknot/core/directory"
 	"siskinknot/core/outcome"
-	"siskinknot/core/placement"
 	"siskinknot/core/quarantine"
-	"siskinknot/core/record"
 	"siskinknot/core/request"
 	"siskinknot/core/retry"
 	"siskinknot/core/routing"
 	"siskinknot/io/boottime"
 	"siskinknot/io/forward"
 	"siskinknot/io/peer"
+	"siskinknot/io/peer/peerpb"
 )
 
 const (
@@ -40,9 +37,6 @@
 	// because the daemons count independently of one another and not at the
 	// same time.
 	budgetFraction = 0.5
-	// busyFraction is the ratio of running and queued requests to slots at which
-	// a target in the same zone is no longer preferred.
-	busyFraction = 0.75
 )
 
 // Request is a caller's request.
@@ -311,75 +305,15 @@
 	return m.sendTo(ctx, a.owned, a.owner, c)
 }
 
-// sendToShared sends a request to one target of a shared service.
-func (m *Mesh) sendToShared(ctx context.Context, c *call) outcome.Result {
-	now := boottime.Now()
-	candidates, local := m.candidates(now, c)
-	if len(candidates) == 0 {
-		return outcome.NotRun{Reason: outcome.NoOwner}
-	}
-	if len(local) > 0 {
-		candidates = local
-	}
-	ids := make([]record.Incarnation, 0, len(candidates))
-	for _, addr := range candidates {
-		ids = append(ids, record.Incarnation(addr.String()))
-	}
-	chooser := m.choosers.ForService(c.head.Service)
-	chosen := chooser.Pick(now, balance.TwoChoices, ids)
-	addr := netip.MustParseAddrPort(string(chosen))
-	c.triedTargets = append(c.triedTargets, addr)
-	res := m.sendTo(ctx, ctx, addr, c)
-	ended := boottime.Now()
-	_, answered := res.(outcome.Answered)
-	chooser.Done(ended, chosen, ended.Sub(now), answered || reasonOf(res) == outcome.Cancelled)
-	return res
-}
-
-// candidates returns the targets that a request to a shared service may be sent
-// to, and those of them in this zone that have free slots. Targets that were
-// tried already are returned only if there are no others.
-func (m *Mesh) candidates(now time.Time, c *call) (all, local []netip.AddrPort) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.recordReport(now, m.cfg.Self, m.ownLoad(now))
-	limit := maxReportAge + m.heartbeatRotationTime()
-	var alreadyTried []netip.AddrPort
-	var loads []placement.Load
-	for _, member := range m.dir.MembersOf(c.head.Service) {
-		r, known := m.reports[member.Address]
-		if (known && (!r.Accepting || now.Sub(r.receivedAt) > limit)) || !m.reachable(member, r.receivedAt) {
-			continue
-		}
-		if slices.Contains(c.triedTargets, member.Address) {
-			alreadyTried = append(alreadyTried, member.Address)
-			continue
-		}
-		all = append(all, member.Address)
-		loads = append(loads, r.Load)
-		if known && member.Zone == m.cfg.Zone && !r.Cold && float64(r.inFlight+r.queued) < busyFraction*float64(r.Slots) {
-			local = append(local, member.Address)
-		}
-	}
-	if c.onTrial {
-		return trialTarget(slices.Concat(alreadyTried, all), c.fingerprint), nil
-	}
-	if len(all) == 0 {
-		return alreadyTried, nil
-	}
-	sample := placement.SampleByCapacity(loads, rand.Float64)
-	inSample := func(addr netip.AddrPort) bool { return sample[slices.Index(all, addr)] }
-	local = slices.DeleteFunc(local, func(addr netip.AddrPort) bool { return !inSample(addr) })
-	chosen := slices.DeleteFunc(slices.Clone(all), func(addr netip.AddrPort) bool { return !inSample(addr) })
-	return chosen, local
-}
-
 // reachable reports whether member, whose last report arrived at heardAt, is
 // active or has returned since it was fenced: its reports arrive before its
 // entry in the directory changes. The caller holds the mutex.
 func (m *Mesh) reachable(member *directory.Member, heardAt time.Time) bool {
+	if member.State == directory.Active {
+		return true
+	}
 	since, fenced := m.leases.FencedSince(member.Address)
-	return member.State == directory.Active || (fenced && heardAt.After(since))
+	return fenced && heardAt.After(since)
 }
 
 // sendTo sends a request to the daemon at addr, or runs it on the local target
@@ -395,7 +329,7 @@
 	}
 	head := *c.head
 	head.Target = m.peerNotices.get(boottime.Now(), addr)
-	return forward.SendWhileOwned(ctx, owned, m.pool, addr, &head, body, &noticeSink{Sink: c.sink, mesh: m, addr: addr})
+	return forward.SendWhileOwned(ctx, owned, m.pool, addr, &head, body, &noticeSink{Sink: c.sink, mesh: m, addr: addr, head: c.head})
 }
 
 // noticeSink is the sink of an answer from the daemon at addr. It keeps what the answer
@@ -404,6 +338,7 @@
 	Sink
 	mesh *Mesh
 	addr netip.AddrPort
+	head *request.Head
 	// notice is that of the answer, or nil if the target states nothing.
 	notice *request.TargetNotice
 }
@@ -411,6 +346,9 @@
 // Notice implements forward.NoticeSink.
 func (s *noticeSink) Notice(notice *request.TargetNotice) { s.notice = notice }
 
+// Load implements forward.LoadSink.
+func (s *noticeSink) Load(load *peerpb.TargetLoad) { s.mesh.recordEndLoad(s.addr, s.head, load) }
+
 // Head implements forward.Sink.
 func (s *noticeSink) Head(status int, header http.Header, contentLength int64) error {
 	s.mesh.peerNotices.record(boottime.Now(), s.addr, s.notice)
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -33,7 +33,9 @@
 // attempt ends early when another member has taken over the owner's keys (attempts.go).
 // The owner's daemon admits the request and sends it to its target (admission.go). Targets
 // state limits and their shutdown in answers (notice.go); peernotices.go keeps what the
-// targets of other daemons stated. Requests that may crash targets are known from the ends
+// targets of other daemons stated. workload.go measures the pace
+// of the target, and chooses the targets of shared services by the paces that daemons
+// report. Requests that may crash targets are known from the ends
 // of targets (running.go), agreed among the daemons, and rejected (suspects.go).
 //
 // The interfaces Store and Target hide the platform. The target's heartbeats and
@@ -75,6 +77,7 @@
 	"siskinknot/core/routing"
 	"siskinknot/core/scheduling"
 	"siskinknot/core/tenure"
+	"siskinknot/core/workload"
 	"siskinknot/io/boottime"
 	"siskinknot/io/peer"
 	"siskinknot/io/targetconn"
@@ -312,6 +315,10 @@
 	// one. A daemon in it may reach the store when this one cannot.
 	receivedHeartbeats map[netip.AddrPort]peerHeartbeat
 	choosers           balance.Choosers
+	// meter measures the target beside this daemon, and workloads has what is known of the
+	// targets of each shared service. Both have their own locks.
+	meter     workload.Meter
+	workloads workload.Tables
 	// storeOK is set if the last call to the store succeeded.
 	storeOK bool
 	// transfers counts the transfers of keys to other members that are in
--- a/io/mesh/metrics.go
+++ b/io/mesh/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"siskinknot/core/outcome"
+	"siskinknot/core/workload"
 )
 
 // metrics are the counters and histograms of a Mesh.
@@ -45,7 +46,12 @@
 	// forgotten, and quarantined that of those that are rejected.
 	suspects, quarantined tally.Gauge
 	// storeEra is the era of the store.
-	storeEra   tally.Gauge
+	storeEra tally.Gauge
+	// choices counts the choices of targets of shared services by reason, twoChoices those
+	// without reports of a pace. reportAge is the age of the report of the chosen target.
+	choices    map[workload.Reason]tally.Counter
+	twoChoices tally.Counter
+	reportAge  tally.Histogram
 	timerLag   lagRecorder
 	goroutines tally.Gauge
 	ranges     tally.Gauge
@@ -55,7 +61,14 @@
 // newMetrics returns metrics registered in scope.
 func newMetrics(scope tally.Scope) *metrics {
 	buckets := tally.MustMakeExponentialDurationBuckets(4*time.Millisecond, 2, 12)
+	choices := map[workload.Reason]tally.Counter{}
+	for _, reason := range workload.Reasons {
+		choices[reason] = choiceCounter(scope, string(reason))
+	}
 	return &metrics{
+		choices:      choices,
+		twoChoices:   choiceCounter(scope, "two_choices"),
+		reportAge:    scope.Histogram("target_report_age", buckets),
 		scope:        scope,
 		storeReads:   newCounter(scope, "store_reads"),
 		storeAppends: newCounter(scope, "store_appends"),
@@ -88,6 +101,24 @@
 	}
 }
 
+// choiceCounter returns the counter of the choices of targets for a reason.
+func choiceCounter(scope tally.Scope, reason string) tally.Counter {
+	return scope.Tagged(map[string]string{"reason": reason}).Counter("target_choices")
+}
+
+// recordChoice counts a choice of a target by its cost.
+func (m *metrics) recordChoice(choice workload.Choice) {
+	if counter, ok := m.choices[choice.Reason]; ok {
+		counter.Inc(1)
+	}
+	if choice.ReportAge >= 0 {
+		m.reportAge.RecordDuration(choice.ReportAge)
+	}
+}
+
+// recordTwoChoices counts a choice of a target that relies on no pace.
+func (m *metrics) recordTwoChoices() { m.twoChoices.Inc(1) }
+
 // recordOutcome counts a request by outcome and reason, and records its
 // duration.
 func (m *metrics) recordOutcome(res outcome.Result, took time.Duration) {
--- a/io/mesh/peers.go
+++ b/io/mesh/peers.go
@@ -42,6 +42,8 @@
 // Forward implements peer.Handler.
 func (m *Mesh) Forward(ctx context.Context, in *peer.Incoming) {
 	forward.Serve(ctx, in, func(ctx context.Context, head *request.Head, ex forward.Exchange) outcome.Result {
-		return m.runRequest(ctx, head, ex)
+		res := m.runRequest(ctx, head, ex)
+		m.attachLoad(head, ex)
+		return res
 	})
 }
