--- a/io/mesh/workload.go
+++ b/io/mesh/workload.go
@@ -95,8 +95,8 @@
 // candidateList has the targets that a request may be sent to. Lists are reused, since a
 // service may have hundreds of targets.
 type candidateList struct {
-	// local are those in this zone, and remote the others. idle are those of local that
-	// have free slots. tried were tried already.
+	// local are those in this zone that are not cold, and remote the others. idle are those
+	// of local that have free slots. tried were tried already.
 	local, remote, idle, tried []netip.AddrPort
 	// loads has the loads of the members that are neither tried nor excluded, if the target
 	// of one of them names a limit, and members their addresses and zones.
@@ -178,7 +178,7 @@
 		local := member.Zone == m.cfg.Zone
 		idle := known && local && !r.Cold && float64(r.inFlight+r.queued) < busyFraction*float64(r.Slots)
 		limited = limited || r.MaxRate > 0
-		l.members = append(l.members, candidate{addr: member.Address, local: local, idle: idle})
+		l.members = append(l.members, candidate{addr: member.Address, local: local && !r.Cold, idle: idle})
 	}
 	if limited {
 		for _, member := range l.members {
--- a/io/mesh/workload_test.go
+++ b/io/mesh/workload_test.go
@@ -83,20 +83,21 @@
 
 // TestCandidates checks which targets a request may be sent to.
 func TestCandidates(t *testing.T) {
-	m, addrs := newSharedMesh(t, 6) // zones a, b, c, a, b, c
+	m, addrs := newSharedMesh(t, 7) // zones a, b, c, a, b, c, a
 	now := boottime.Now()
 	head := &request.Head{Service: "s", Route: "r"}
 	m.recordReport(now, addrs[0], &peerpb.TargetLoad{Accepting: true, Slots: 4, InFlight: 3})
 	m.recordReport(now, addrs[1], &peerpb.TargetLoad{Accepting: false, Slots: 4})
+	m.recordReport(now, addrs[6], &peerpb.TargetLoad{Accepting: true, Cold: true, Slots: 4})
 	m.target.Instance, m.target.Ready = "", false // this daemon's own target does not accept
 	for _, row := range []struct {
 		name                string
 		tried               []netip.AddrPort
 		local, remote, idle []netip.AddrPort
 	}{
-		{"none tried", nil, []netip.AddrPort{addrs[0], addrs[3]}, []netip.AddrPort{addrs[2], addrs[4], addrs[5]}, []netip.AddrPort{addrs[3]}},
-		{"one tried", addrs[3:4], addrs[:1], []netip.AddrPort{addrs[2], addrs[4], addrs[5]}, nil},
-		{"all tried", addrs, nil, []netip.AddrPort{addrs[0], addrs[2], addrs[3], addrs[4], addrs[5]}, nil},
+		{"none tried", nil, []netip.AddrPort{addrs[0], addrs[3]}, []netip.AddrPort{addrs[2], addrs[4], addrs[5], addrs[6]}, []netip.AddrPort{addrs[3]}},
+		{"one tried", addrs[3:4], addrs[:1], []netip.AddrPort{addrs[2], addrs[4], addrs[5], addrs[6]}, nil},
+		{"all tried", addrs, nil, []netip.AddrPort{addrs[0], addrs[2], addrs[3], addrs[4], addrs[5], addrs[6]}, nil},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			l := m.candidates(now, &call{head: head, triedTargets: row.tried})
