--- a/io/mesh/admission.go
+++ b/io/mesh/admission.go
@@ -123,6 +123,7 @@
 	times.admittedAt = started
 	permit.MarkSent(started)
 	slot := &usedSlot{mesh: m, permit: permit, head: head, divided: divided, startedAt: started, times: times}
+	slot.pace, _ = m.meter.Pace(started)
 	res, use := m.sendToTarget(ctx, head, ex, key, divided, slot)
 	slot.release(boottime.Now(), res, use)
 	return res
@@ -252,6 +253,7 @@
 	resp, notice, res := m.targetClient.Send(ctx, head, body, r.process.instance)
 	if notice != nil {
 		m.recordNotice(boottime.Now(), notice)
+		m.recordServerLoad(boottime.Now(), notice.Load)
 	}
 	if res != nil {
 		m.rate.forget(r.sentAt, res)
--- a/io/mesh/answer.go
+++ b/io/mesh/answer.go
@@ -51,7 +51,9 @@
 	divided   bool
 	startedAt time.Time
 	times     *requestTimes
-	released  bool
+	// pace is how long work took at the target when the request started.
+	pace     float64
+	released bool
 }
 
 // release releases the slot at ended, unless it is released already, and records the service
@@ -66,9 +68,10 @@
 		return
 	}
 	m := s.mesh
+	atUsualPace := m.meter.RecordServed(s.startedAt, ended, s.head.Route, s.pace)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.demand.RecordServed(s.head.Class, ended.Sub(s.startedAt))
+	m.demand.RecordServed(s.head.Class, atUsualPace)
 	if s.divided && s.times.targetWarm {
 		m.serviceTimes.Add(ended.Sub(s.startedAt), s.times.cutOff(ended, res))
 	}
--- a/io/mesh/coldstart.go
+++ b/io/mesh/coldstart.go
@@ -10,6 +10,7 @@
 
 	"siskinknot/core/coldstart"
 	"siskinknot/core/outcome"
+	"siskinknot/core/request"
 	"siskinknot/core/routing"
 	"siskinknot/core/scheduling"
 	"siskinknot/io/boottime"
@@ -37,15 +38,7 @@
 	ColdKnown bool
 	ColdFor   time.Duration
 	// Load is the load that the target states, or nil.
-	Load *TargetHealthLoad
-}
-
-// TargetHealthLoad is the load that a target states in a response.
-type TargetHealthLoad struct {
-	Running, Waiting, Slots int
-	// Pace is how long work takes at present as a multiple of the usual time; 0 if the
-	// target does not say.
-	Pace float64
+	Load *request.ServerLoad
 }
 
 // targetRate controls the rate of the requests that are sent to the target beside this daemon:
--- a/io/mesh/evacuation_test.go
+++ b/io/mesh/evacuation_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -135,10 +136,10 @@
 			m.addMembers(now, zoneMember{addrs[2], "t", "a"}, zoneMember{addrs[3], "t", "b"}, zoneMember{addrs[4], "t", "c"})
 			m.setEvacuated(row.evacuated...)
 			c := &call{head: &request.Head{Service: "t"}, avoidedZones: row.avoided, triedTargets: row.tried}
-			all, local := m.candidates(now, c)
-			require.ElementsMatch(t, row.want, all)
+			list := m.candidates(now, c)
+			require.ElementsMatch(t, row.want, slices.Concat(list.local, list.remote))
 			require.Equal(t, row.noneIsLeft, c.allEvacuated)
-			for _, addr := range local {
+			for _, addr := range list.local {
 				require.Equal(t, "a", m.dir.Member(addr).Zone)
 				require.NotContains(t, row.evacuated, "a")
 			}
--- a/io/mesh/heartbeat.go
+++ b/io/mesh/heartbeat.go
@@ -12,6 +12,7 @@
 	"siskinknot/core/evacuation"
 	"siskinknot/core/placement"
 	"siskinknot/core/tenure"
+	"siskinknot/core/workload"
 	"siskinknot/io/boottime"
 	"siskinknot/io/peer"
 	"siskinknot/io/peer/peerpb"
@@ -191,11 +192,15 @@
 			ServiceTime: time.Duration(min(load.ServiceUs, maxServiceUs)) * time.Microsecond,
 			MaxRate:     nonNegative(load.MaxRate),
 			ColdFor:     time.Duration(min(load.ColdMs, maxColdMs)) * time.Millisecond,
+			Pace:        workload.ValidPace(load.Pace),
 		},
 		receivedAt: now,
 		inFlight:   int(load.InFlight),
 		queued:     int(load.Queued),
 	}
+	if member := m.dir.Member(from); member != nil && from != m.cfg.Self {
+		m.recordWorkload(now, member.Service, from, load)
+	}
 }
 
 // nonNegative returns x, or 0 if x is negative or not a finite number.
@@ -211,7 +216,10 @@
 func (m *Mesh) ownLoad(now time.Time) *peerpb.TargetLoad {
 	load := m.scheduler.Load()
 	cold := m.rate.cold(now)
+	backlog, pace := m.ownBacklog(now)
 	return &peerpb.TargetLoad{
+		BacklogUs: uint64(backlog.Microseconds()),
+		Pace:      pace,
 		Accepting: m.target.accepting() && !m.leaving && m.evacuation.Verdict(now, m.cfg.Zone) == evacuation.Serve,
 		Cold:      now.Before(m.target.coldUntil) || cold.Cold,
 		ColdMs:    uint64(cold.Left.Milliseconds()),
--- a/io/mesh/redirect.go
+++ b/io/mesh/redirect.go
@@ -126,11 +126,13 @@
 	if left < time.Duration(float64(c.route.LatencyObjective)*redirectObjectiveShare) {
 		return nil
 	}
-	candidates, _ := m.candidates(now, c)
+	list := m.candidates(now, c)
+	defer list.release()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var ranked [4][]netip.AddrPort
-	for _, addr := range candidates {
+	for i := range list.count() {
+		addr := list.at(i)
 		r, known := m.reports[addr]
 		if !known || slices.Contains(c.triedTargets, addr) || !r.hasRoom(left) || m.redirects.rejectedSince(addr, r.receivedAt) {
 			continue
