--- a/standin/keyserver/keyserver.go
+++ b/standin/keyserver/keyserver.go
@@ -8,6 +8,7 @@
 //     then seen the fence of the release: it refuses grants with a lower one.
 //   - It sends heartbeats to the daemon on its VM, and reports when it drains.
 //   - A request may crash it.
+//   - It reports in heartbeats and to health checks for how much longer it is cold.
 //   - Faults make it lose answers, send an unsolicited second answer, cut answers off, or
 //     answer late.
 //
@@ -126,6 +127,10 @@
 	// if they name none.
 	leaving bool
 	limit   float64
+	// coldUntil is until when the server reports that it is cold, and healthChecks the number
+	// of health checks that have arrived.
+	coldUntil    time.Time
+	healthChecks int
 	// arrivals holds when requests of callers arrived.
 	arrivals []time.Time
 	sequence int
@@ -174,6 +179,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /siskinknot/grant", s.grant)
 	mux.HandleFunc("POST /siskinknot/release", s.release)
+	mux.HandleFunc("GET /health", s.health)
 	mux.HandleFunc("/", s.run)
 	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -366,8 +372,8 @@
 		state = "draining"
 	}
 	return fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":%q,"version":"v1","zone":"z","slots":%d},`+
-		`"status":{"state":%q,"sequence":%d,"cold_left_ms":0}%s}`,
-		s.cfg.Address, s.startedAtMs, s.cfg.Service, s.cfg.Slots, state, s.sequence, s.grantLists())
+		`"status":{"state":%q,"sequence":%d,"cold_left_ms":%d}%s}`,
+		s.cfg.Address, s.startedAtMs, s.cfg.Service, s.cfg.Slots, state, s.sequence, s.coldLeftMs(), s.grantLists())
 }
 
 // callDaemon sends a call about this server to the daemon. The caller closes the body of the
--- a/standin/meshfleet/meshfleet.go
+++ b/standin/meshfleet/meshfleet.go
@@ -62,6 +62,8 @@
 	MeanServiceTime time.Duration
 	// RouteTimeout is the timeout of the routes; 0 stands for 2 s.
 	RouteTimeout time.Duration
+	// ColdPerSecond is the rate that cold servers of both services sustain; 0 for no limit.
+	ColdPerSecond float64
 	// DeadlyPath is the path of the requests that crash the server that runs them; empty
 	// if there is none. A crashed server is started again after a second.
 	DeadlyPath string
@@ -193,6 +195,12 @@
 		},
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 26, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	}
+	if f.opts.ColdPerSecond > 0 {
+		for _, service := range doc["services"].(map[string]any) {
+			service := service.(map[string]any)
+			service["cold_start_s"], service["cold_per_s"] = 20, f.opts.ColdPerSecond
+		}
+	}
 	routeDocs := map[string]any{}
 	timeout := cmp.Or(f.opts.RouteTimeout, 2*time.Second)
 	addRoute := func(prefix, kind, service string, priority int) {
