Test targets that do not report their cold state

Rows for a process whose heartbeat has no cold time, for a caller of assumeCold that holds the mutex, and for an absurd cold time in a load report.

--- a/core/coldstart/window.go
+++ b/core/coldstart/window.go
@@ -31,7 +31,7 @@
 	}
 	if len(w.events) == maxEvents {
 		w.fullUntil = w.events[0].Add(windowLength)
-		w.events = slices.Delete(w.events, 0, 1)
+		w.events = w.events[1:]
 	}
 	w.events = append(w.events, now)
 }
@@ -62,7 +62,5 @@
 	for expired < len(w.events) && now.Sub(w.events[expired]) >= windowLength {
 		expired++
 	}
-	if expired > 0 {
-		w.events = slices.Delete(w.events, 0, expired)
-	}
+	w.events = w.events[expired:]
 }
--- a/io/mesh/coldstart_test.go
+++ b/io/mesh/coldstart_test.go
@@ -190,6 +190,15 @@
 			func(m *Mesh) { m.heartbeat(2, coldTime) },
 			func(checks int) bool { return checks == 0 },
 		},
+		{
+			"restarts and does not report its state",
+			TargetHealth{},
+			errors.New("no answer"),
+			func(m *Mesh) {
+				m.TargetHeartbeat(boottime.Now(), TargetState{Instance: "i-2", Born: 2, Slots: 8, Ready: true, ColdUnknown: true})
+			},
+			func(checks int) bool { return 2 <= checks && checks <= 5 },
+		},
 		{
 			"becomes cold while it serves",
 			TargetHealth{Status: http.StatusOK},
@@ -222,7 +231,11 @@
 			"evacuation ends, target is cold",
 			TargetHealth{Status: http.StatusOK, Instance: "i-1", ColdKnown: true, ColdFor: 5 * time.Second},
 			nil,
-			func(m *Mesh) { m.assumeCold(boottime.Now()) },
+			func(m *Mesh) {
+				m.mu.Lock()
+				defer m.mu.Unlock()
+				m.assumeCold(boottime.Now()) // its caller may hold the mutex
+			},
 			func(checks int) bool { return checks == 1 },
 		},
 		{
@@ -284,6 +297,12 @@
 			m.heartbeat(2, 0)
 			m.assumeCold(boottime.Now())
 		}},
+		{"health check after a start without a report", func(m *Mesh, target *countingTarget) {
+			target.mu.Lock()
+			target.health, target.healthErr = TargetHealth{Status: http.StatusOK, Instance: "i-3", ColdKnown: true}, nil
+			target.mu.Unlock()
+			m.TargetHeartbeat(boottime.Now(), TargetState{Instance: "i-3", Born: 3, Slots: 8, Ready: true, ColdUnknown: true})
+		}},
 		{"time", func(*Mesh, *countingTarget) { time.Sleep(1200 * time.Millisecond) }},
 	} {
 		t.Run(row.name, func(t *testing.T) {
--- a/io/mesh/heartbeat_test.go
+++ b/io/mesh/heartbeat_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"siskinknot/core/coldstart"
 	"siskinknot/core/directory"
 	"siskinknot/core/grantsync"
 	"siskinknot/core/placement"
@@ -86,11 +87,11 @@
 	from := testAddrs(3)[2]
 	for _, era := range []uint64{math.MaxUint64, 1 << 24, directory.LastEra + 1} {
 		m.handleHeartbeat(&peerpb.Heartbeat{From: from.String(), StoreEra: era, Load: &peerpb.TargetLoad{
-			Demand: math.NaN(), MaxRate: math.Inf(1), ServiceUs: math.MaxUint64,
+			Demand: math.NaN(), MaxRate: math.Inf(1), ServiceUs: math.MaxUint64, ColdMs: math.MaxUint64,
 		}})
 		require.EqualValues(t, directory.FirstEra, m.storeEra.Load())
 	}
-	require.Equal(t, placement.Load{Member: from, ServiceTime: time.Hour}, m.reports[from].Load)
+	require.Equal(t, placement.Load{Member: from, ServiceTime: time.Hour, ColdFor: coldstart.MaxColdTime}, m.reports[from].Load)
 	version := m.dir.Version()
 	for _, end := range []uint64{math.MaxUint64, directory.VersionAt(directory.LastEra+1, 0)} {
 		require.Equal(t, version, m.handleUpdate(&peerpb.Update{Base: 0, End: end}).NextOffset)
