Log invalid cold times only where a rate is configured

Earlier deployments, whose targets need not state a cold time, would have got a new warning at each start of a target. It is now logged once the rate is known, also if the configuration comes after the heartbeat.

--- a/io/mesh/coldstart.go
+++ b/io/mesh/coldstart.go
@@ -64,6 +64,10 @@
 	// limited is set while the target names a limit, and named is that limit.
 	limited bool
 	named   float64
+	// configured is set while a rate of cold targets is configured, and invalid the first
+	// heartbeat of the target's process if it has no valid cold time and that is not logged yet.
+	configured bool
+	invalid    *TargetState
 	// state is the cold state as it was last applied to the scheduler, and coldSince when the
 	// target was first found to be cold.
 	state     coldstart.State
@@ -84,9 +88,22 @@
 // configure puts the settings of the target's service into force.
 func (r *targetRate) configure(now time.Time, svc routing.Service) {
 	r.limiter.Configure(svc.ColdRate, svc.ColdStart)
+	r.mu.Lock()
+	r.configured = svc.ColdRate > 0
+	r.logInvalid()
+	r.mu.Unlock()
 	r.update(now)
 }
 
+// logInvalid logs once that the target's process states no valid cold time, if that matters. The
+// caller holds the mutex.
+func (r *targetRate) logInvalid() {
+	if state := r.invalid; state != nil && r.configured {
+		r.invalid = nil
+		r.log.Warn("target states no valid cold time", "instance", state.Instance, "missing", state.ColdUnknown, "used_ms", state.ColdFor.Milliseconds())
+	}
+}
+
 // setNamed records the limit that the target names.
 func (r *targetRate) setNamed(now time.Time, perSecond float64) {
 	r.mu.Lock()
@@ -115,9 +132,13 @@
 	switch {
 	case started:
 		r.limiter.ObserveStart(now)
+		r.mu.Lock()
+		r.invalid = nil
 		if state.ColdUnknown || state.ColdBounded {
-			r.log.Warn("target states no valid cold time", "instance", state.Instance, "missing", state.ColdUnknown, "used_ms", state.ColdFor.Milliseconds())
+			r.invalid = &TargetState{Instance: state.Instance, ColdUnknown: state.ColdUnknown, ColdFor: state.ColdFor}
 		}
+		r.logInvalid()
+		r.mu.Unlock()
 	case returned:
 		r.limiter.Assume(now, coldstart.Returned)
 	}
--- a/io/mesh/coldstart_test.go
+++ b/io/mesh/coldstart_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -11,11 +12,14 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
 
 	"siskinknot/core/outcome"
 	"siskinknot/core/request"
 	"siskinknot/core/routing"
+	"siskinknot/core/scheduling"
 	"siskinknot/io/boottime"
 	"siskinknot/io/forward"
 	"siskinknot/io/targetconn"
@@ -401,3 +405,23 @@
 	m.heartbeat(1, 0)
 	require.Zero(t, rate())
 }
+
+// TestInvalidColdTimeIsLogged guards against a missing line about a heartbeat without a valid cold time, against one for
+// each heartbeat, and against one where no rate is configured.
+func TestInvalidColdTimeIsLogged(t *testing.T) {
+	const line = "target states no valid cold time"
+	var logged bytes.Buffer
+	log := hclog.New(&hclog.LoggerOptions{Output: &logged})
+	now := time.Unix(1000, 0)
+	r := newTargetRate(now, scheduling.New(1), newMetrics(tally.NoopScope), log)
+	r.configure(now, routing.Service{})
+	r.observeHeartbeat(now, &TargetState{Instance: "i-1", ColdUnknown: true}, true, false)
+	require.NotContains(t, logged.String(), line)
+	r.configure(now, routing.Service{ColdRate: coldPerSecond, ColdStart: coldTime})
+	require.Equal(t, 1, strings.Count(logged.String(), line))
+	r.observeHeartbeat(now, &TargetState{Instance: "i-1", ColdUnknown: true}, false, false)
+	r.observeHeartbeat(now, &TargetState{Instance: "i-2"}, true, false)
+	require.Equal(t, 1, strings.Count(logged.String(), line))
+	r.observeHeartbeat(now, &TargetState{Instance: "i-3", ColdBounded: true}, true, false)
+	require.Equal(t, 2, strings.Count(logged.String(), line))
+}
