--- a/io/mesh/coldstart_test.go
+++ b/io/mesh/coldstart_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -11,11 +12,14 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
 
 	"siskinknot/core/outcome"
 	"siskinknot/core/request"
 	"siskinknot/core/routing"
+	"siskinknot/core/scheduling"
 	"siskinknot/io/boottime"
 	"siskinknot/io/forward"
 	"siskinknot/io/targetconn"
@@ -190,6 +194,15 @@
 			func(m *Mesh) { m.heartbeat(2, coldTime) },
 			func(checks int) bool { return checks == 0 },
 		},
+		{
+			"restarts and does not report its state",
+			TargetHealth{},
+			errors.New("no answer"),
+			func(m *Mesh) {
+				m.TargetHeartbeat(boottime.Now(), TargetState{Instance: "i-2", Born: 2, Slots: 8, Ready: true, ColdUnknown: true})
+			},
+			func(checks int) bool { return 2 <= checks && checks <= 5 },
+		},
 		{
 			"becomes cold while it serves",
 			TargetHealth{Status: http.StatusOK},
@@ -222,7 +235,11 @@
 			"evacuation ends, target is cold",
 			TargetHealth{Status: http.StatusOK, Instance: "i-1", ColdKnown: true, ColdFor: 5 * time.Second},
 			nil,
-			func(m *Mesh) { m.assumeCold(boottime.Now()) },
+			func(m *Mesh) {
+				m.mu.Lock()
+				defer m.mu.Unlock()
+				m.assumeCold(boottime.Now()) // its caller may hold the mutex
+			},
 			func(checks int) bool { return checks == 1 },
 		},
 		{
@@ -284,6 +301,12 @@
 			m.heartbeat(2, 0)
 			m.assumeCold(boottime.Now())
 		}},
+		{"health check after a start without a report", func(m *Mesh, target *countingTarget) {
+			target.mu.Lock()
+			target.health, target.healthErr = TargetHealth{Status: http.StatusOK, Instance: "i-3", ColdKnown: true}, nil
+			target.mu.Unlock()
+			m.TargetHeartbeat(boottime.Now(), TargetState{Instance: "i-3", Born: 3, Slots: 8, Ready: true, ColdUnknown: true})
+		}},
 		{"time", func(*Mesh, *countingTarget) { time.Sleep(1200 * time.Millisecond) }},
 	} {
 		t.Run(row.name, func(t *testing.T) {
@@ -382,3 +405,23 @@
 	m.heartbeat(1, 0)
 	require.Zero(t, rate())
 }
+
+// TestInvalidColdTimeIsLogged guards against a missing line about a heartbeat without a valid cold time, against one for
+// each heartbeat, and against one where no rate is configured.
+func TestInvalidColdTimeIsLogged(t *testing.T) {
+	const line = "target states no valid cold time"
+	var logged bytes.Buffer
+	log := hclog.New(&hclog.LoggerOptions{Output: &logged})
+	now := time.Unix(1000, 0)
+	r := newTargetRate(now, scheduling.New(1), newMetrics(tally.NoopScope), log)
+	r.configure(now, routing.Service{})
+	r.observeHeartbeat(now, &TargetState{Instance: "i-1", ColdUnknown: true}, true, false)
+	require.NotContains(t, logged.String(), line)
+	r.configure(now, routing.Service{ColdRate: coldPerSecond, ColdStart: coldTime})
+	require.Equal(t, 1, strings.Count(logged.String(), line))
+	r.observeHeartbeat(now, &TargetState{Instance: "i-1", ColdUnknown: true}, false, false)
+	r.observeHeartbeat(now, &TargetState{Instance: "i-2"}, true, false)
+	require.Equal(t, 1, strings.Count(logged.String(), line))
+	r.observeHeartbeat(now, &TargetState{Instance: "i-3", ColdBounded: true}, true, false)
+	require.Equal(t, 2, strings.Count(logged.String(), line))
+}
