--- a/standin/keyserver/keyserver.go
+++ b/standin/keyserver/keyserver.go
@@ -126,6 +126,9 @@
 	// if they name none.
 	leaving bool
 	limit   float64
+	// pace is how long work takes relative to the usual time, and stated in the answers,
+	// or 0 if they state no load.
+	pace float64
 	// arrivals holds when requests of callers arrived.
 	arrivals []time.Time
 	sequence int
@@ -284,6 +287,14 @@
 	s.limit = perSecond
 }
 
+// SetPace makes work take pace times as long as usual, and the server state that in its
+// answers.
+func (s *Server) SetPace(pace float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pace = pace
+}
+
 // Arrivals returns when the requests of callers arrived, including those that the
 // server refused.
 func (s *Server) Arrivals() []time.Time {
@@ -305,6 +316,9 @@
 	if s.leaving {
 		header.Set("Server-Leaving", "1")
 	}
+	if s.pace > 0 {
+		header.Set("X-Server-Load", fmt.Sprintf("%d,%d,%d,%.0f", s.inFlight, s.queued, s.cfg.Slots, 100*s.pace))
+	}
 }
 
 // Holds reports whether the server holds key under a grant that has not expired.
@@ -529,6 +543,9 @@
 	}
 	s.running[uint16(key)]++
 	f := s.fault
+	if s.pace > 0 {
+		f.Slow *= s.pace
+	}
 	s.mu.Unlock()
 	s.cfg.History.recordRun(id, r.Method, s.id)
 	// net/http reports that the connection was closed only after the body has been
