--- a/standin/keyserver/keyserver.go
+++ b/standin/keyserver/keyserver.go
@@ -295,6 +295,15 @@
 	s.pace = pace
 }
 
+// faultAtPace returns the current fault, slowed down by the pace. The caller holds the mutex.
+func (s *Server) faultAtPace() Fault {
+	f := s.fault
+	if s.pace > 0 {
+		f.Slow *= s.pace
+	}
+	return f
+}
+
 // Arrivals returns when the requests of callers arrived, including those that the
 // server refused.
 func (s *Server) Arrivals() []time.Time {
@@ -542,10 +551,7 @@
 		return
 	}
 	s.running[uint16(key)]++
-	f := s.fault
-	if s.pace > 0 {
-		f.Slow *= s.pace
-	}
+	f := s.faultAtPace()
 	s.mu.Unlock()
 	s.cfg.History.recordRun(id, r.Method, s.id)
 	// net/http reports that the connection was closed only after the body has been
