Always compare the target beside the daemon

With 66 daemons, each rarely knows that a target of another VM is slow at the moment. It knows that of its own target at every moment, and requests to it use no link. The own load is also computed once for a request instead of twice.

--- a/core/workload/choice.go
+++ b/core/workload/choice.go
@@ -75,15 +75,23 @@
 	sentAt time.Time
 }
 
-// Choose returns the target of a request of route that is sent at now. local and remote
-// are the targets in this and in other zones that may be chosen. It panics if there are
-// none.
-func (t *Table) Choose(now time.Time, route string, local, remote []netip.AddrPort) Choice {
+// Candidates are the targets that a request may be sent to.
+type Candidates struct {
+	// Local and Remote are the targets in this and in other zones.
+	Local, Remote []netip.AddrPort
+	// Own is the one of Local beside this daemon, or zero if it is none of them. It is
+	// always compared, since its load is known best and its requests use no link.
+	Own netip.AddrPort
+}
+
+// Choose returns the target of a request of route that is sent at now. There must be a
+// candidate.
+func (t *Table) Choose(now time.Time, route string, candidates Candidates) Choice {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.updateMeans(now)
 	i := t.routeIndex(now, route)
-	chosen, reason := t.choose(now, i, local, remote)
+	chosen, reason := t.choose(now, i, candidates)
 	s := t.targetOf(now, chosen)
 	age := time.Duration(-1)
 	if s.reportAt.IsZero() {
@@ -100,15 +108,16 @@
 
 // choose compares random targets of this zone and, if there are any, of other zones. The
 // caller holds the mutex.
-func (t *Table) choose(now time.Time, route int, local, remote []netip.AddrPort) (netip.AddrPort, Reason) {
+func (t *Table) choose(now time.Time, route int, candidates Candidates) (netip.AddrPort, Reason) {
+	local, remote := candidates.Local, candidates.Remote
 	if len(local)+len(remote) == 1 {
 		if len(local) == 1 {
 			return local[0], OnlyTarget
 		}
 		return remote[0], OnlyTarget
 	}
-	near, nearEnd := t.cheapest(now, route, local)
-	far, farEnd := t.cheapest(now, route, remote)
+	near, nearEnd := t.cheapest(now, route, candidates.Own, local)
+	far, farEnd := t.cheapest(now, route, netip.AddrPort{}, remote)
 	switch {
 	case len(local) == 0:
 		return far, NoLocal
@@ -119,14 +128,16 @@
 	}
 }
 
-// cheapest returns the target with the lowest cost of a few random ones of list, and its
-// cost. The caller holds the mutex.
-func (t *Table) cheapest(now time.Time, route int, list []netip.AddrPort) (best netip.AddrPort, cost float64) {
-	lowest := math.Inf(1)
+// cheapest returns the target with the lowest cost of own, unless it is zero, and a few
+// random ones of list, and its cost. The caller holds the mutex.
+func (t *Table) cheapest(now time.Time, route int, own netip.AddrPort, list []netip.AddrPort) (netip.AddrPort, float64) {
+	c := comparison{lowest: math.Inf(1)}
+	if own.IsValid() {
+		t.consider(now, route, own, &c)
+	}
 	// An index is drawn from those after the ones compared before, which are in order.
 	var drawn [maxCompared]int
-	n := min(t.compared, len(list), maxCompared)
-	for k := range n {
+	for k := range min(t.compared, len(list), maxCompared) {
 		index := t.random(len(list) - k)
 		at := 0
 		for ; at < k && drawn[at] <= index; at++ {
@@ -134,16 +145,28 @@
 		}
 		copy(drawn[at+1:k+1], drawn[at:k])
 		drawn[at] = index
-		s := t.targets[list[index]]
-		if s == nil {
-			s = &unknown
-		}
-		c := t.cost(now, s, route)
-		if drawn := c * t.uncertainty(now, s); drawn < lowest {
-			best, cost, lowest = list[index], c, drawn
-		}
+		t.consider(now, route, list[index], &c)
+	}
+	return c.best, c.cost
+}
+
+// comparison is the best of the targets compared so far.
+type comparison struct {
+	best netip.AddrPort
+	// cost is its cost, and lowest that with its random factor.
+	cost, lowest float64
+}
+
+// consider adds the target at addr to a comparison. The caller holds the mutex.
+func (t *Table) consider(now time.Time, route int, addr netip.AddrPort, c *comparison) {
+	s := t.targets[addr]
+	if s == nil {
+		s = &unknown
+	}
+	cost := t.cost(now, s, route)
+	if drawn := cost * t.uncertainty(now, s); drawn < c.lowest {
+		*c = comparison{best: addr, cost: cost, lowest: drawn}
 	}
-	return best, cost
 }
 
 // maxCompared bounds the number of targets that are compared.
--- a/core/workload/choice_test.go
+++ b/core/workload/choice_test.go
@@ -23,7 +23,7 @@
 // fleet is the play of a deployment: three zones with a daemon beside each target.
 func fleet(speeds []float64) play {
 	return play{
-		speeds: speeds, zones: 3, ingresses: len(speeds), slots: 4, utilization: 0.4, service: 100 * time.Millisecond,
+		speeds: speeds, zones: 3, beside: true, ingresses: len(speeds), slots: 4, utilization: 0.4, service: 100 * time.Millisecond,
 		objective: 300 * time.Millisecond, length: 12 * time.Second, heartbeats: 1500 * time.Millisecond, ends: true, paced: true,
 	}
 }
@@ -51,13 +51,13 @@
 // are busier than the others, and against requests that are late because of the choice.
 func TestChoiceUnderLoad(t *testing.T) {
 	few := func(p play, ingresses int) play {
-		p.zones, p.ingresses, p.slots = 1, ingresses, 9
+		p.zones, p.ingresses, p.slots, p.beside = 1, ingresses, 9, false
 		return p
 	}
 	slow := fleet(repeat(66, 1, 6, 1, 1, 1, 6, 1, 6, 1))
 	slow.paceHasSpeed = true
 	stale := fleet(repeat(300, 0.7, 1, 1.3))
-	stale.heartbeats, stale.ends, stale.zones, stale.ingresses = 2*time.Second, false, 1, 66
+	stale.heartbeats, stale.ends, stale.zones, stale.ingresses, stale.beside = 2*time.Second, false, 1, 66, false
 	stale.service, stale.objective, stale.utilization, stale.length = 400*time.Millisecond, 1200*time.Millisecond, 0.7, 20*time.Second
 	for _, row := range []struct {
 		name string
@@ -67,7 +67,7 @@
 		gain, busiest, remote float64
 	}{
 		{"different speeds", fleet(repeat(66, 0.7, 0.7, 1.6, 0.7)), -0.005, 1.3, 0.06},
-		{"spells", withSpells(fleet(repeat(66, 0.5, 1, 1, 1.5))), -0.025, 1.45, 0.16},
+		{"spells", withSpells(fleet(repeat(66, 0.5, 1, 1, 1.5))), 0, 1.45, 0.1},
 		{"spells, few targets, more requests for each daemon", few(withSpells(fleet(repeat(12, 0.5, 1, 1, 1.5))), 4), 0, 1.3, 0},
 		{"a third six times slower", slow, 0.07, 1.7, 0.22},
 		{"stale reports", stale, -0.01, 1.3, 0},
@@ -89,9 +89,9 @@
 // clearly worse than others.
 func TestComparedTargets(t *testing.T) {
 	few := withSpells(fleet(repeat(12, 0.5, 1, 1, 1.5)))
-	few.zones, few.ingresses, few.slots = 1, 4, 9
+	few.zones, few.ingresses, few.slots, few.beside = 1, 4, 9, false
 	stale := fleet(repeat(66, 0.7, 1, 1.3))
-	stale.heartbeats, stale.ends, stale.zones, stale.utilization = 2*time.Second, false, 1, 0.7
+	stale.heartbeats, stale.ends, stale.zones, stale.utilization, stale.beside = 2*time.Second, false, 1, 0.7, false
 	for _, row := range []struct {
 		name string
 		play play
@@ -116,7 +116,7 @@
 // TestFalseReports guards against a target that attracts most requests by what it claims.
 func TestFalseReports(t *testing.T) {
 	base := fleet(repeat(12, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 6))
-	base.zones, base.ingresses = 1, 4
+	base.zones, base.ingresses, base.beside = 1, 4, false
 	for _, row := range []struct {
 		name    string
 		falsify func(r *Report)
@@ -196,12 +196,12 @@
 		{name: "a clear gain in another zone", reports: []Report{slow, report}, local: 1, want: 1, reason: OtherZone},
 		{name: "none in this zone", reports: []Report{slow, report}, local: 0, want: 1, reason: NoLocal},
 		{name: "failed", reports: []Report{report, busy}, local: 2, want: 1, reason: Cheapest, before: func(table *Table, now time.Time, addrs []netip.AddrPort) {
-			choice := table.Choose(now, "r", addrs[:1], nil)
+			choice := table.Choose(now, "r", Candidates{Local: addrs[:1]})
 			table.Done(now, choice, Failed)
 		}},
 		{name: "sent there", reports: []Report{report, report}, local: 2, want: 1, before: func(table *Table, now time.Time, addrs []netip.AddrPort) {
 			for range 20 {
-				table.Choose(now, "r", addrs[:1], nil)
+				table.Choose(now, "r", Candidates{Local: addrs[:1]})
 			}
 		}},
 	} {
@@ -216,7 +216,7 @@
 			if row.before != nil {
 				row.before(table, now, addrs)
 			}
-			choice := table.Choose(now, "r", addrs[:row.local], addrs[row.local:])
+			choice := table.Choose(now, "r", Candidates{Local: addrs[:row.local], Remote: addrs[row.local:]})
 			require.Equal(t, addrs[row.want], choice.Target)
 			if row.reason == "" {
 				row.reason = Cheapest
@@ -269,7 +269,7 @@
 			} else {
 				table.RecordHeartbeat(now, addr, r)
 			}
-			choice := table.Choose(now, route, addrs[:3], addrs[3:])
+			choice := table.Choose(now, route, Candidates{Local: addrs[:3], Remote: addrs[3:], Own: addrs[0]})
 			if !choice.Target.IsValid() {
 				t.Fatal("no target chosen")
 			}
@@ -296,7 +296,7 @@
 	require.Len(t, table.targets, maxTargets)
 	require.NotContains(t, table.targets, addrs[0])
 	for range 2 * maxOpen {
-		table.Choose(now, "r", addrs[len(addrs)-1:], nil)
+		table.Choose(now, "r", Candidates{Local: addrs[len(addrs)-1:]})
 	}
 	require.Len(t, table.targets[addrs[len(addrs)-1]].open, maxOpen)
 }
@@ -312,7 +312,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		now = now.Add(100 * time.Microsecond)
-		choice := table.Choose(now, "r", addrs[:100], addrs[100:])
+		choice := table.Choose(now, "r", Candidates{Local: addrs[:100], Remote: addrs[100:], Own: addrs[0]})
 		table.Done(now.Add(time.Millisecond), choice, Answered)
 	}
 }
--- a/core/workload/sim_test.go
+++ b/core/workload/sim_test.go
@@ -25,7 +25,9 @@
 	// includes the speed.
 	paced, paceHasSpeed bool
 	// zones is the number of zones that the targets are in, in turn.
-	zones       int
+	zones int
+	// beside is set if each ingress daemon is beside a target.
+	beside      bool
 	ingresses   int
 	slots       int
 	utilization float64
@@ -114,6 +116,8 @@
 	table  *Table
 	choose *balance.Chooser
 	zone   int
+	// own is the target beside it, or nil.
+	own *playTarget
 	// local and remote are the targets in this and in other zones, and ids those that
 	// today's choice is among.
 	local, remote []netip.AddrPort
@@ -154,6 +158,9 @@
 	for i := range p.ingresses {
 		in := &playIngress{table: NewTable(), choose: balance.NewChooser(), zone: i % s.zones}
 		in.table.random = s.rng.IntN
+		if p.beside {
+			in.own = s.targets[i]
+		}
 		if p.compared > 0 {
 			in.table.compared = p.compared
 		}
@@ -260,7 +267,12 @@
 		id = r.in.choose.Pick(s.now, balance.TwoChoices, ids)
 		t = s.byID[id]
 	} else {
-		choice = r.in.table.Choose(s.now, "r", local, remote)
+		var own netip.AddrPort
+		if r.in.own != nil && r.in.own != tried {
+			own = r.in.own.addr
+			r.in.table.RecordEnd(s.now, own, "r", s.report(r.in.own, false))
+		}
+		choice = r.in.table.Choose(s.now, "r", Candidates{Local: local, Remote: remote, Own: own})
 		t = s.byAddr[choice.Target]
 	}
 	if r.counted {
--- a/core/workload/table.go
+++ b/core/workload/table.go
@@ -19,9 +19,9 @@
 //	table := tables.ForService("registry")
 //	table.RecordEnd(now, addr, "lookup", report)
 //	if inForce, _ := table.InForce(now); inForce {
-//		choice := table.Choose(now, "lookup", local, remote)
+//		choice := table.Choose(now, "lookup", workload.Candidates{Local: local, Remote: remote, Own: own})
 //		...
-//		table.Done(end, choice, answered)
+//		table.Done(end, choice, workload.Answered)
 //	}
 package workload
 
--- a/io/mesh/workload.go
+++ b/io/mesh/workload.go
@@ -43,16 +43,28 @@
 // endLoad returns the load to send with the end of a request of route, or nil if the
 // target reports no pace: other daemons do not use the load then.
 func (m *Mesh) endLoad(now time.Time, route string) *peerpb.TargetLoad {
-	current, _ := m.meter.Pace(now)
-	if current == 0 {
+	if current, _ := m.meter.Pace(now); current == 0 {
 		return nil
 	}
 	m.mu.Lock()
 	load := m.ownLoad(now)
 	m.mu.Unlock()
+	if !m.describeNow(now, route, load) {
+		return nil
+	}
+	return load
+}
+
+// describeNow sets the pace of load to that of this moment, and the time of route. It
+// reports false if the pace is unknown.
+func (m *Mesh) describeNow(now time.Time, route string, load *peerpb.TargetLoad) bool {
+	current, _ := m.meter.Pace(now)
+	if current == 0 {
+		return false
+	}
 	load.Pace = current
 	load.RouteUs = uint64(m.meter.RouteTime(route).Microseconds())
-	return load
+	return true
 }
 
 // attachLoad adds the load of the target to the end of a request that another daemon
@@ -98,6 +110,8 @@
 	// local are those in this zone that are not cold, and remote the others. idle are those
 	// of local that have free slots. tried were tried already.
 	local, remote, idle, tried []netip.AddrPort
+	// own is the one of local beside this daemon, or zero.
+	own netip.AddrPort
 	// loads has the loads of the members that are neither tried nor excluded, if the target
 	// of one of them names a limit, and members their addresses and zones.
 	loads   []placement.Load
@@ -116,10 +130,16 @@
 // release makes the list available for other requests.
 func (l *candidateList) release() {
 	l.local, l.remote, l.idle, l.tried = l.local[:0], l.remote[:0], l.idle[:0], l.tried[:0]
-	l.loads, l.members = l.loads[:0], l.members[:0]
+	l.loads, l.members, l.own = l.loads[:0], l.members[:0], netip.AddrPort{}
 	candidateLists.Put(l)
 }
 
+// candidates returns the candidates as a Table chooses among them. They are valid until
+// the list is released.
+func (l *candidateList) candidates() workload.Candidates {
+	return workload.Candidates{Local: l.local, Remote: l.remote, Own: l.own}
+}
+
 // count returns the number of candidates.
 func (l *candidateList) count() int { return len(l.local) + len(l.remote) }
 
@@ -132,8 +152,9 @@
 }
 
 // sample moves the members that take part in the choice to local, remote and idle. Members
-// whose targets name a limit take part in proportion to their capacity.
-func (l *candidateList) sample() {
+// whose targets name a limit take part in proportion to their capacity. self is the address of
+// this daemon.
+func (l *candidateList) sample(self netip.AddrPort) {
 	var takesPart []bool
 	if len(l.loads) > 0 {
 		takesPart = placement.SampleByCapacity(l.loads, rand.Float64)
@@ -147,6 +168,9 @@
 		}
 		if c.local {
 			l.local = append(l.local, c.addr)
+			if c.addr == self {
+				l.own = self
+			}
 		} else {
 			l.remote = append(l.remote, c.addr)
 		}
@@ -158,11 +182,11 @@
 // must release the list.
 func (m *Mesh) candidates(now time.Time, c *call) *candidateList {
 	l := candidateLists.Get().(*candidateList)
-	own := m.endLoad(now, c.head.Route)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.recordReport(now, m.cfg.Self, m.ownLoad(now))
-	if own != nil && c.head.Service == m.cfg.Service {
+	own := m.ownLoad(now)
+	m.recordReport(now, m.cfg.Self, own)
+	if c.head.Service == m.cfg.Service && m.describeNow(now, c.head.Route, own) {
 		m.workloads.ForService(m.cfg.Service).RecordEnd(now, m.cfg.Self, c.head.Route, workloadReport(own))
 	}
 	oldest, limited := now.Add(-maxReportAge-m.heartbeatRotationTime()), false
@@ -194,7 +218,7 @@
 	case len(l.members) == 0:
 		l.remote = append(l.remote, l.tried...)
 	default:
-		l.sample()
+		l.sample(m.cfg.Self)
 	}
 	return l
 }
@@ -230,7 +254,7 @@
 
 // sendByCost sends a request to the target of list that table chooses, and releases list.
 func (m *Mesh) sendByCost(ctx context.Context, c *call, now time.Time, table *workload.Table, list *candidateList) outcome.Result {
-	choice := table.Choose(now, c.head.Route, list.local, list.remote)
+	choice := table.Choose(now, c.head.Route, list.candidates())
 	list.release()
 	m.metrics.recordChoice(choice)
 	c.triedTargets = append(c.triedTargets, choice.Target)
--- a/io/mesh/workload_test.go
+++ b/io/mesh/workload_test.go
@@ -163,7 +163,7 @@
 			for b.Loop() {
 				l := m.candidates(now, c)
 				if paced {
-					table.Done(now, table.Choose(now, "r", l.local, l.remote), workload.Answered)
+					table.Done(now, table.Choose(now, "r", l.candidates()), workload.Answered)
 				}
 				l.release()
 			}
