--- a/io/mesh/ingress.go
+++ b/io/mesh/ingress.go
@@ -240,19 +240,11 @@
 		if retry.OwnerUnavailable(res) && now.After(ownerWaitEnd) && m.ownerOf(c) == previousOwner {
 			return m.withRetryAfter(c, res)
 		}
-		if c.allEvacuated {
-			return m.withRetryAfter(c, res)
+		if m.mayTryElsewhere(c, res) {
+			continue
 		}
-		switch reasonOf(res) {
-		case outcome.CallsFailing:
-			return res // calls fail elsewhere as well
-		case outcome.Overloaded:
-			if m.mayTryElsewhere(c, res) {
-				continue
-			}
-			// No other target has room, and a divided service has no other target for the key.
+		if noOtherTarget(c, res) {
 			return m.withRetryAfter(c, res)
-		default:
 		}
 		policy := retry.Policy{MaxAttempts: c.route.MaxAttempts + c.unreached}
 		delay, retryable := policy.NextDelay(now, c.head.Deadline, res, c.head.Idempotent, c.attempts, m.budget)
@@ -263,6 +255,14 @@
 	}
 }
 
+// noOtherTarget reports whether another attempt at c, which ended with res, would end in the same
+// way: all zones are evacuated, the calls of the route fail, no other target has room, or the
+// service is divided and has no other target for the key.
+func noOtherTarget(c *call, res outcome.Result) bool {
+	reason := reasonOf(res)
+	return c.allEvacuated || reason == outcome.CallsFailing || reason == outcome.Overloaded
+}
+
 // owner is the owner of a key of a divided service according to the directory;
 // zero if the key has none.
 type owner struct {
--- a/standin/keyserver/keyserver.go
+++ b/standin/keyserver/keyserver.go
@@ -131,6 +131,9 @@
 	// of health checks that have arrived.
 	coldUntil    time.Time
 	healthChecks int
+	// pace is how long work takes relative to the usual time, and stated in the answers,
+	// or 0 if they state no load.
+	pace float64
 	// arrivals holds when requests of callers arrived.
 	arrivals []time.Time
 	sequence int
@@ -290,6 +293,23 @@
 	s.limit = perSecond
 }
 
+// SetPace makes work take pace times as long as usual, and the server state that in its
+// answers.
+func (s *Server) SetPace(pace float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pace = pace
+}
+
+// faultAtPace returns the current fault, slowed down by the pace. The caller holds the mutex.
+func (s *Server) faultAtPace() Fault {
+	f := s.fault
+	if s.pace > 0 {
+		f.Slow *= s.pace
+	}
+	return f
+}
+
 // Arrivals returns when the requests of callers arrived, including those that the
 // server refused.
 func (s *Server) Arrivals() []time.Time {
@@ -311,6 +331,9 @@
 	if s.leaving {
 		header.Set("Server-Leaving", "1")
 	}
+	if s.pace > 0 {
+		header.Set("X-Server-Load", fmt.Sprintf("%d,%d,%d,%.0f", s.inFlight, s.queued, s.cfg.Slots, 100*s.pace))
+	}
 }
 
 // Holds reports whether the server holds key under a grant that has not expired.
@@ -534,7 +557,7 @@
 		return
 	}
 	s.running[uint16(key)]++
-	f := s.fault
+	f := s.faultAtPace()
 	s.mu.Unlock()
 	s.cfg.History.recordRun(id, r.Method, s.id)
 	// net/http reports that the connection was closed only after the body has been
