--- a/core/evacuation/evacuation_test.go
+++ b/core/evacuation/evacuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
@@ -105,7 +106,7 @@
 // copy without the record, and against a zone that stays evacuated when the operator does not write it again.
 func TestRecordIsLostByStore(t *testing.T) {
 	restored := directory.VersionAt(2, 3)
-	at := func(after time.Duration) time.Time { return startedAt.Add(after) }
+	at := startedAt.Add
 	for _, row := range []struct {
 		name   string
 		events func(s *State)
@@ -266,3 +267,67 @@
 		}
 	})
 }
+
+// TestOneDaemonReachesStore spreads a set by heartbeats in a fleet of which only one daemon reaches the store, while a
+// tenth of the messages is lost and daemons are restarted. It guards against an evacuation that some daemon learns of too late.
+func TestOneDaemonReachesStore(t *testing.T) {
+	const (
+		daemons, guardians, others = 70, 2, 16 // others get a heartbeat every second round
+		round                      = 300 * time.Millisecond
+		limit                      = 3 * time.Second
+	)
+	slowest := time.Duration(0)
+	for seed := range uint64(100) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		states, next := make([]*State, daemons), make([]int, daemons)
+		for i := range states {
+			states[i], next[i] = stateAt(4), rng.IntN(daemons)
+		}
+		states[rng.IntN(daemons)].ApplyRecords(startedAt, 4, 5, evacuate("a"))
+		sent := make([]Set, daemons) // the sets at the start of a round
+		exchange := func(from, to int) {
+			if rng.IntN(10) == 0 {
+				return
+			}
+			states[to].Merge(startedAt, sent[from])
+			states[from].Merge(startedAt, sent[to])
+		}
+		informed := func() bool {
+			return !slices.ContainsFunc(states, func(s *State) bool { return s.Verdict(startedAt, "a") != Evacuated })
+		}
+		elapsed := time.Duration(0)
+		for n := 1; !informed(); n++ {
+			if n == 2 {
+				states[rng.IntN(daemons)] = NewState(startedAt)
+			}
+			elapsed += round
+			for i, s := range states {
+				sent[i] = s.Shared()
+			}
+			for i := range states {
+				for g := range guardians {
+					exchange(i, (i+g+1)%daemons)
+				}
+				for range others * (n % 2) {
+					next[i]++
+					if to := next[i] % daemons; to != i {
+						exchange(i, to)
+					}
+				}
+			}
+			require.Less(t, elapsed, limit, "seed %d", seed)
+		}
+		slowest = max(slowest, elapsed)
+	}
+	t.Logf("all daemons know the set after at most %v", slowest)
+}
+
+// BenchmarkVerdict measures the decision for one request.
+func BenchmarkVerdict(b *testing.B) {
+	s := stateAt(4, "zone-a", "zone-b")
+	for b.Loop() {
+		if s.Verdict(startedAt, "zone-c") != Serve {
+			b.Fatal("not served")
+		}
+	}
+}
--- a/io/mesh/evacuation_test.go
+++ b/io/mesh/evacuation_test.go
@@ -297,14 +297,67 @@
 // TestYieldInEvacuatedZone guards against an owner that gives keys to one other member, in its own zone, at the
 // request of a planner that has not learned of the evacuation.
 func TestYieldInEvacuatedZone(t *testing.T) {
-	m := newDividedMesh(t, &releasingTarget{}, directory.Assignment{First: 0, Last: directory.MaxKey, Fence: 1})
+	for _, row := range []struct {
+		name  string
+		zones []string
+	}{{"nothing evacuated", nil}, {"own zone evacuated", []string{"a"}}} {
+		t.Run(row.name, func(t *testing.T) {
+			m := newDividedMesh(t, &releasingTarget{}, directory.Assignment{First: 0, Last: directory.MaxKey, Fence: 1})
+			now := boottime.Now()
+			to := unusedAddr(t)
+			m.cfg.Zone, m.storeOK = "a", true
+			m.addMembers(now, zoneMember{to, "s", "a"})
+			m.store = &countingStore{version: m.dir.Version()}
+			m.pool = peer.NewPool("self", netip.MustParseAddr("127.0.0.1"), hclog.NewNullLogger())
+			defer func() { require.NoError(t, m.pool.Close()) }()
+			m.leases.RecordStoreRead(now, 0)
+			m.holdings[0].granted, m.holdings[0].ownedSince = true, now.Add(-time.Hour)
+			m.keyLoad = placement.NewLoadHistogram(now)
+			for key := range uint16(1000) {
+				m.keyLoad.Add(now, 64*key, 10*time.Millisecond)
+			}
+			m.setEvacuated(row.zones...)
+			reply := m.handleYield(&peerpb.Yield{Service: "s", To: to.String(), Demand: m.keyLoad.Demand(now, 0, directory.MaxKey) / 2})
+			require.Equal(t, row.zones == nil, reply.Granted)
+			require.Eventually(t, func() bool {
+				m.mu.Lock()
+				defer m.mu.Unlock()
+				return m.transfers == 0
+			}, 3*time.Second, time.Millisecond)
+		})
+	}
+}
+
+// TestRetainedZoneExpires guards against a zone that stays evacuated because the store has lost its record.
+func TestRetainedZoneExpires(t *testing.T) {
+	m := newTestMesh()
 	now := boottime.Now()
-	m.cfg.Zone, m.storeOK = "a", true
-	m.leases.RecordStoreRead(now, m.dir.Version())
-	m.holdings[0].granted, m.holdings[0].ownedSince = true, now.Add(-time.Hour)
-	m.addMembers(now, zoneMember{testAddrs(3)[2], "s", "a"})
+	m.cfg.Zone, m.loaded = "a", true
 	m.setEvacuated("a")
-	require.False(t, m.handleYield(&peerpb.Yield{Service: "s", To: testAddrs(3)[2].String(), Demand: 1}).Granted)
+	m.mergeEvacuations(now, "10.0.0.9:7400", &peerpb.Evacuations{Version: directory.VersionAt(2, 1)})
+	require.True(t, m.zoneEvacuated())
+	require.Empty(t, m.evacuationsToSend().Zones, "other daemons know themselves what they have lost")
+	task := maintenance{mesh: m}
+	task.read.nextAt = now.Add(time.Hour)
+	task.tick(now.Add(evacuation.RetainTime - time.Second))
+	require.True(t, m.zoneEvacuated())
+	task.tick(now.Add(evacuation.RetainTime))
+	require.False(t, m.zoneEvacuated())
+}
+
+// TestUnknownZoneIsLoggedAfterStart guards against a zone without members that is not logged, because it was evacuated
+// before the daemon knew the directory.
+func TestUnknownZoneIsLoggedAfterStart(t *testing.T) {
+	var log bytes.Buffer
+	m := newTestMesh()
+	m.log = hclog.New(&hclog.LoggerOptions{Output: &log})
+	m.addMembers(boottime.Now(), zoneMember{self, "s", "a"})
+	m.setEvacuated("a", "nowhere")
+	require.NotContains(t, log.String(), "no members")
+	m.markLoaded("store")
+	m.markLoaded("store")
+	require.Equal(t, 1, strings.Count(log.String(), "evacuated zone has no members: zone=nowhere"))
+	require.Equal(t, 1, strings.Count(log.String(), "no members"))
 }
 
 // TestHeartbeatsCarryEvacuations checks that a daemon learns the set from a heartbeat and from the reply to
