Do not serve after a pause before the evacuations are known

A daemon that was frozen while its zone was evacuated finds requests in its connections when it goes on, and could send them to a target of a shared service before it hears of the evacuation. It now notices a pause of more than 2 s by its timer, and sends nothing to the target until another daemon has replied to a heartbeat sent afterwards, or for 2 s.

Unit tests show the decision.

--- a/core/evacuation/evacuation.go
+++ b/core/evacuation/evacuation.go
@@ -24,6 +24,8 @@
 //	change, ok := state.ApplyRecords(now, base, version, records)
 //	change = state.Merge(now, setOfOtherDaemon)
 //	change = state.Expire(now)
+//	state.Tick(now)       // in intervals well below PauseLimit
+//	state.Confirm(sentAt) // another daemon has replied to a message with the set
 //	if state.Verdict(now, zone) == evacuation.Serve {
 //		// requests may be sent to the targets of the zone
 //	}
@@ -44,6 +46,12 @@
 // ones each time, every 0.6 s, so that a daemon that returns hears from several within 1 s.
 const LearnTime = 2 * time.Second
 
+// PauseLimit is the time without a call of Tick from which on a daemon takes itself for paused: it
+// may have missed an evacuation. The messages that it finds when it goes on may be as old as the
+// pause, so only a reply to a message that it sends afterwards confirms its set. After a shorter
+// pause, at least 3 of the 5 s are left in which an evacuation has to be obeyed.
+const PauseLimit = 2 * time.Second
+
 // RetainTime is how long a zone stays evacuated whose record is missing in a later era of the
 // store, so that the operator can write what the store has lost again.
 const RetainTime = 10 * time.Second
@@ -97,7 +105,7 @@
 const (
 	Serve     Verdict = iota // requests may be sent
 	Evacuated                // the zone is evacuated
-	Unknown                  // this daemon has just started and has not learned the set yet
+	Unknown                  // this daemon has started or was paused, and does not know the present set yet
 )
 
 // State is the set that a daemon knows. It is safe for concurrent use.
@@ -112,6 +120,9 @@
 	// stay evacuated. current has the zones of the set and these.
 	retained map[string]time.Time
 	current  Set
+	// tickedAt is when Tick was last called. doubtedAt is when a pause was noticed after which
+	// the set has not been confirmed, or zero.
+	tickedAt, doubtedAt time.Time
 }
 
 // NewState returns the State of a daemon that was started at startedAt and knows no set.
@@ -134,21 +145,49 @@
 }
 
 // Verdict returns whether requests may be sent at now to the target of this daemon, which is in
-// zone. A daemon that has learned no set within LearnTime serves: neither the store nor any
-// other daemon tells of an evacuation.
+// zone. A daemon whose set is neither learned nor confirmed within LearnTime serves: neither the
+// store nor any other daemon tells of an evacuation.
 func (s *State) Verdict(now time.Time, zone string) Verdict {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
 	case s.current.Contains(zone):
 		return Evacuated
-	case !s.known && now.Sub(s.startedAt) < LearnTime:
+	case !s.known && now.Sub(s.startedAt) < LearnTime, s.paused(now), now.Sub(s.doubtedAt) < LearnTime:
 		return Unknown
 	default:
 		return Serve
 	}
 }
 
+// paused reports whether the daemon did nothing for more than PauseLimit before now. The caller
+// holds the mutex.
+func (s *State) paused(now time.Time) bool {
+	return !s.tickedAt.IsZero() && now.Sub(s.tickedAt) > PauseLimit
+}
+
+// Tick records that the daemon is running at now, and reports whether it was paused.
+func (s *State) Tick(now time.Time) (paused bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	paused = s.paused(now)
+	if paused {
+		s.doubtedAt = now
+	}
+	s.tickedAt = now
+	return paused
+}
+
+// Confirm records that another daemon has replied to a message that was sent at sentAt and
+// contained the set. What the reply contains has been merged before.
+func (s *State) Confirm(sentAt time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !sentAt.Before(s.doubtedAt) {
+		s.doubtedAt = time.Time{}
+	}
+}
+
 // Expire ends the evacuation of zones that were retained until now.
 func (s *State) Expire(now time.Time) Change {
 	s.mu.Lock()
--- a/core/evacuation/evacuation_test.go
+++ b/core/evacuation/evacuation_test.go
@@ -198,6 +198,48 @@
 	}
 }
 
+// TestPausedDaemonServes guards against a daemon that was paused while its zone was evacuated, and that sends its
+// target the requests that it finds when it goes on.
+func TestPausedDaemonServes(t *testing.T) {
+	at := startedAt.Add
+	const pause = PauseLimit + time.Second
+	for _, row := range []struct {
+		name   string
+		events func(s *State)
+		after  time.Duration
+		want   Verdict
+	}{
+		{"short pause", func(*State) {}, PauseLimit, Serve},
+		{"pause not noticed yet", func(*State) {}, pause, Unknown},
+		{"noticed", func(s *State) { require.True(t, s.Tick(at(pause))) }, pause, Unknown},
+		{"reply to a heartbeat from before", func(s *State) { s.Tick(at(pause)); s.Confirm(at(pause - 1)) }, pause, Unknown},
+		{"old set of another daemon", func(s *State) { s.Tick(at(pause)); s.Merge(at(pause), Set{Version: 5}) }, pause, Unknown},
+		{"confirmed", func(s *State) { s.Tick(at(pause)); s.Confirm(at(pause)) }, pause, Serve},
+		{"evacuated meanwhile", func(s *State) {
+			s.Tick(at(pause))
+			s.Merge(at(pause), Set{Version: 5, Zones: []string{"a"}})
+			s.Confirm(at(pause))
+		}, pause, Evacuated},
+		{"nobody replies", func(s *State) {
+			for after := pause; after <= pause+LearnTime; after += time.Second {
+				s.Tick(at(after))
+			}
+		}, pause + LearnTime, Serve},
+		{"runs without contact", func(s *State) {
+			for after := time.Second; after <= time.Minute; after += time.Second {
+				require.False(t, s.Tick(at(after)))
+			}
+		}, time.Minute, Serve},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			s := stateAt(4)
+			require.False(t, s.Tick(startedAt))
+			row.events(s)
+			require.Equal(t, row.want, s.Verdict(at(row.after), "a"))
+		})
+	}
+}
+
 // TestAllDaemonsConverge has daemons read a topic at different times, in parts or as snapshots,
 // and exchange their sets. All must have the set of the topic in the end. It guards against a daemon
 // that keeps an evacuation that has ended or misses one that has begun, whatever it read and heard, and in which order.
--- a/io/mesh/evacuation.go
+++ b/io/mesh/evacuation.go
@@ -48,6 +48,14 @@
 	m.recordEvacuationChange(now, change, from)
 }
 
+// tickEvacuations notices that this daemon was paused: it may have missed an evacuation, and sends
+// nothing to its target until another daemon has replied to a heartbeat.
+func (m *Mesh) tickEvacuations(now time.Time) {
+	if m.evacuation.Tick(now) {
+		m.log.Warn("daemon was paused", "at_least_ms", evacuation.PauseLimit.Milliseconds())
+	}
+}
+
 // expireEvacuations ends the evacuation of zones whose record the store has lost, and that the
 // operator has not written again in time.
 func (m *Mesh) expireEvacuations(now time.Time) {
--- a/io/mesh/evacuation_test.go
+++ b/io/mesh/evacuation_test.go
@@ -415,10 +415,18 @@
 func TestReplyToHeartbeatTellsOfEvacuation(t *testing.T) {
 	m := newConfiguredMesh(t)
 	m.store, m.cfg.Zone = &countingStore{}, "a"
-	m.evacuation = evacuation.NewState(boottime.Now())
+	now := boottime.Now()
+	m.evacuation = evacuation.NewState(now)
 	addr := listen(t, toldPeer{})
 	m.sendHeartbeat(addr, &peerpb.Heartbeat{From: self.String(), Evacuations: m.evacuationsToSend()})
-	require.Equal(t, evacuation.Evacuated, m.evacuation.Verdict(boottime.Now(), "a"))
+	require.Equal(t, evacuation.Evacuated, m.evacuation.Verdict(now, "a"))
+
+	// The reply also ends the doubt after a pause.
+	m.tickEvacuations(now.Add(-2 * evacuation.PauseLimit))
+	m.tickEvacuations(now)
+	require.Equal(t, evacuation.Unknown, m.evacuation.Verdict(now, "b"))
+	m.sendHeartbeat(addr, &peerpb.Heartbeat{From: self.String(), Evacuations: m.evacuationsToSend()})
+	require.Equal(t, evacuation.Serve, m.evacuation.Verdict(now, "b"))
 }
 
 // rejectingStore is a store that rejects the calls of this daemon.
--- a/io/mesh/heartbeat.go
+++ b/io/mesh/heartbeat.go
@@ -43,6 +43,7 @@
 	round, nextOther := 0, 0
 	return m.runEvery(tenure.RenewInterval, func(now time.Time) {
 		round++
+		m.tickEvacuations(now)
 		m.mu.Lock()
 		load := m.ownLoad(now)
 		me := m.dir.Member(m.cfg.Self)
@@ -134,6 +135,7 @@
 	m.observeEra(now, reply.StoreEra)
 	m.mu.Lock()
 	m.mergeEvacuations(now, addr.String(), reply.Evacuations)
+	m.evacuation.Confirm(sentAt)
 	m.leases.RecordHeartbeat(now, addr)
 	m.leases.RecordConfirmation(now, addr, reply.NextOffset)
 	if msg.Renew && reply.Granted {
--- a/test/mesh/evacuation_test.go
+++ b/test/mesh/evacuation_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"slices"
+	"syscall"
 	"testing"
 	"time"
 
@@ -11,7 +12,7 @@
 )
 
 // TestEvacuatedZoneGetsRequests evacuates a zone under load, while the store rejects the calls of some daemons
-// there, and restarts daemons of the zone. It guards against a request that reaches a target of the zone
+// there, restarts daemons of the zone, and freezes one before the record is stored. It guards against a request that reaches a target of the zone
 // later than 5 s after the record was stored, and checks that the zone gets requests again after the record was removed.
 func TestEvacuatedZoneGetsRequests(t *testing.T) {
 	const (
@@ -34,6 +35,8 @@
 			cutOff := []netip.Addr{f.IP(3), f.IP(9)}
 			f.Store.SetFault(metastore.Fault{Outage: metastore.Busy, AppliesTo: func(caller netip.Addr) bool { return slices.Contains(cutOff, caller) }})
 			time.Sleep(6 * time.Second) // the reads that wait for a change end
+			f.VMs[6].Signal(syscall.SIGSTOP)
+			time.Sleep(500 * time.Millisecond)
 			f.Store.Put("keyed.op", key, []byte("{}"))
 			storedAt := time.Now()
 			time.Sleep(limit / 2)
@@ -43,6 +46,8 @@
 					t.Fatal(err)
 				}
 			}
+			time.Sleep(time.Until(storedAt.Add(limit + watchFor/2)))
+			f.VMs[6].Signal(syscall.SIGCONT)
 			time.Sleep(time.Until(storedAt.Add(limit + watchFor)))
 			for i, vm := range zone {
 				arrivals := vm.Server.Arrivals()
