--- a/core/placement/experiment_test.go
+++ b/core/placement/experiment_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"siskinknot/core/request"
+	"siskinknot/core/workload"
 )
 
 // An experiment simulates a load on targets whose keys are placed by Plan and
@@ -59,6 +60,9 @@
 	length  time.Duration
 	// paced is set if the targets report their pace, which is then their time factor.
 	paced bool
+	// spells makes a fifth of the targets three times slower for 400 ms at a time, and
+	// instantaneous makes the reports have the pace of the moment instead of the average.
+	spells, instantaneous bool
 	// plan is the planning policy, or nil if no keys move.
 	plan func([]Load) []Move
 }
@@ -119,6 +123,7 @@
 	running   map[*simRequest]time.Time
 	queue     []*simRequest
 	demand    Demand
+	meter     workload.Meter
 	histogram *LoadHistogram
 	ranges    []simRange
 	// moving is the number of moves in progress from this target.
@@ -266,12 +271,14 @@
 // run runs a request at a target.
 func (s *simulation) run(t *simTarget, r *simRequest) {
 	const spread = 0.5
-	took := time.Duration(float64(s.service) * t.timeFactor * math.Exp(spread*s.rng.NormFloat64()-spread*spread/2))
+	pace := t.timeFactor * s.spell(t)
+	took := time.Duration(float64(s.service) * pace * math.Exp(spread*s.rng.NormFloat64()-spread*spread/2))
 	t.running[r] = s.now.Add(took)
 	s.at(took, func() {
 		delete(t.running, r)
 		if s.paced {
-			took = time.Duration(float64(took) / t.timeFactor)
+			t.meter.RecordPace(s.now, t.timeFactor*s.spell(t))
+			took = t.meter.RecordServed(s.now.Add(-took), s.now, "r", pace)
 		}
 		t.demand.RecordServed(request.Lookup, took)
 		if s.now.After(r.objective) {
@@ -299,11 +306,23 @@
 		Member: t.addr, Accepting: true, Slots: s.slots,
 		Demand: t.demand.PerSecond(s.now), ServiceTime: t.demand.MeanServiceTime(),
 	}
-	if s.paced {
-		t.report.Pace = t.timeFactor
+	current, average := t.meter.Pace(s.now)
+	t.report.Pace = average
+	if s.instantaneous {
+		t.report.Pace = current
 	}
 }
 
+// spell returns the factor of the time of t at this moment.
+func (s *simulation) spell(t *simTarget) float64 {
+	const factor, length = 3, 400 * time.Millisecond
+	n := uint64(s.now.Sub(s.start)/length)*8191 + uint64(t.addr.Addr().As4()[3])
+	if s.spells && n*0x9E3779B97F4A7C15>>32%5 == 0 {
+		return factor
+	}
+	return 1
+}
+
 // replan makes a plan from the latest reports, starts its moves, and schedules the
 // next plan.
 func (s *simulation) replan() {
--- a/core/placement/pace_test.go
+++ b/core/placement/pace_test.go
@@ -60,6 +60,32 @@
 	}
 }
 
+// TestSpellsMoveKeys guards against keys that move with each spell of a target: the capacity is weighed by the average pace.
+func TestSpellsMoveKeys(t *testing.T) {
+	const seeds = 6
+	measure := func(instantaneous bool) (imbalance, moved, served float64) {
+		e := experiment{
+			slots: 9, timeFactors: []float64{0.7, 0.8, 1, 1, 1.1, 1.2, 1.4, 1.5}, perSecond: 120, service: 150 * time.Millisecond,
+			objective: 600 * time.Millisecond, skew: 0.78, popular: 30000, length: 40 * time.Second, plan: Plan,
+			paced: true, spells: true, instantaneous: instantaneous,
+		}
+		for seed := range uint64(seeds) {
+			res := e.simulate(seed)
+			imbalance += res.imbalance(8, 38, e.timeFactors) / seeds
+			moved += res.moved / seeds
+			served += res.served() / seeds
+		}
+		return imbalance, moved, served
+	}
+	imbalance, moved, served := measure(false)
+	instantImbalance, instantMoved, instantServed := measure(true)
+	t.Logf("average pace: imbalance %.2f, moved %.2f, in time %.3f; of the moment: %.2f, %.2f, %.3f",
+		imbalance, moved, served, instantImbalance, instantMoved, instantServed)
+	require.LessOrEqual(t, imbalance, 1.3)
+	require.LessOrEqual(t, moved, instantMoved/2)
+	require.GreaterOrEqual(t, served, instantServed)
+}
+
 // TestPaceWeighsCapacity guards against a slow target that gets as many keys as a fast one, and against odd paces.
 func TestPaceWeighsCapacity(t *testing.T) {
 	load := func(i int, demand, pace float64) Load {
