Count errors of a target as at least the time of the route

A target that fails every request at once had the shortest times, so that the choice by cost preferred it; with few targets it would have got most requests. Its errors now count as the route's mean time at least, in the route's time and in the demand, while a pace is known.

--- a/core/placement/experiment_test.go
+++ b/core/placement/experiment_test.go
@@ -278,7 +278,7 @@
 		delete(t.running, r)
 		if s.paced {
 			t.meter.RecordPace(s.now, t.timeFactor*s.spell(t))
-			took = t.meter.RecordServed(s.now.Add(-took), s.now, "r", pace)
+			took = t.meter.RecordServed(s.now.Add(-took), s.now, "r", pace, false)
 		}
 		t.demand.RecordServed(request.Lookup, took)
 		if s.now.After(r.objective) {
--- a/core/workload/meter.go
+++ b/core/workload/meter.go
@@ -38,8 +38,11 @@
 
 // RecordServed records a request of route that the target ran from started to ended, and
 // that was sent at the given pace. It returns the time that the request would have taken
-// at the usual pace. A pace of 0 is unknown and counts as the usual one.
-func (m *Meter) RecordServed(started, ended time.Time, route string, paceAtStart float64) time.Duration {
+// at the usual pace. A pace of 0 is unknown and counts as the usual one. failed is set if
+// the target answered with an error or not at all: with a known pace, such a request counts
+// as at least the route's time, since a target that fails at once would otherwise seem the
+// fastest and get most requests.
+func (m *Meter) RecordServed(started, ended time.Time, route string, paceAtStart float64, failed bool) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	pace := 1.0
@@ -50,6 +53,9 @@
 		}
 	}
 	took := time.Duration(max(ended.Sub(started), 0).Seconds() / pace * float64(time.Second))
+	if failed && m.pace.Known(ended) {
+		took = max(took, m.routeTime(route))
+	}
 	if m.routes == nil {
 		m.routes = map[string]time.Duration{}
 	}
@@ -65,6 +71,11 @@
 func (m *Meter) RouteTime(route string) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.routeTime(route)
+}
+
+// routeTime is RouteTime for callers that hold the mutex.
+func (m *Meter) routeTime(route string) time.Duration {
 	if t, known := m.routes[route]; known {
 		return t
 	}
--- a/core/workload/pace_test.go
+++ b/core/workload/pace_test.go
@@ -62,19 +62,27 @@
 	now := time.Unix(1000, 0)
 	var m Meter
 	require.Zero(t, m.RouteTime("r"))
-	require.Equal(t, 300*time.Millisecond, m.RecordServed(now, now.Add(300*time.Millisecond), "unpaced", 0))
+	require.Equal(t, 300*time.Millisecond, m.RecordServed(now, now.Add(300*time.Millisecond), "unpaced", 0, false))
 	for range 100 {
 		m.RecordPace(now, 3)
 		before, _ := m.Pace(now)
 		end := now.Add(300 * time.Millisecond)
 		m.RecordPace(end, 3)
-		m.RecordServed(now, end, "r", before)
+		m.RecordServed(now, end, "r", before, false)
 		now = end
 	}
 	require.InDelta(t, 0.1, m.RouteTime("r").Seconds(), 0.001)
 	require.InDelta(t, 0.1, m.RouteTime("other").Seconds(), 0.01)
+	// Errors that come at once do not make the target seem fast.
+	for range 50 {
+		require.InDelta(t, 0.1, m.RecordServed(now, now.Add(time.Millisecond), "r", 3, true).Seconds(), 0.001)
+	}
+	require.InDelta(t, 0.1, m.RouteTime("r").Seconds(), 0.001)
+	// Without a pace they count as before.
+	later := now.Add(time.Hour)
+	require.Equal(t, time.Millisecond, m.RecordServed(later, later.Add(time.Millisecond), "r", 0, true))
 	for i := range 2 * maxMeasuredRoutes {
-		m.RecordServed(now, now.Add(time.Second), string(rune('a'+i)), 1)
+		m.RecordServed(now, now.Add(time.Second), string(rune('a'+i)), 1, false)
 	}
 	require.Len(t, m.routes, maxMeasuredRoutes)
 }
--- a/core/workload/sim_test.go
+++ b/core/workload/sim_test.go
@@ -353,7 +353,7 @@
 			}
 		}
 		t.meter.RecordPace(s.now, s.pace(t))
-		t.meter.RecordServed(r.startedAt, s.now, "r", r.pace)
+		t.meter.RecordServed(r.startedAt, s.now, "r", r.pace, false)
 		if len(t.queue) > 0 {
 			next := t.queue[0]
 			t.queue = t.queue[1:]
--- a/io/mesh/admission.go
+++ b/io/mesh/admission.go
@@ -125,7 +125,7 @@
 	ended := boottime.Now()
 	permit.Done(ended, use)
 	if use == scheduling.Served {
-		atUsualPace := m.meter.RecordServed(started, ended, head.Route, pace)
+		atUsualPace := m.meter.RecordServed(started, ended, head.Route, pace, !succeeded(res))
 		m.mu.Lock()
 		m.demand.RecordServed(head.Class, atUsualPace)
 		if divided && times.targetWarm {
--- a/io/mesh/workload.go
+++ b/io/mesh/workload.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"net/netip"
 	"slices"
 	"sync"
@@ -30,6 +31,12 @@
 	}
 }
 
+// succeeded reports whether the target answered a request without an error of its own.
+func succeeded(res outcome.Result) bool {
+	answered, ok := res.(outcome.Answered)
+	return ok && answered.Status < http.StatusInternalServerError
+}
+
 // ownBacklog returns the expected remaining work of the target's requests at the usual
 // pace, and the target's average pace, or 0 if it is unknown.
 func (m *Mesh) ownBacklog(now time.Time) (backlog time.Duration, averagePace float64) {
--- a/io/mesh/workload_test.go
+++ b/io/mesh/workload_test.go
@@ -61,7 +61,7 @@
 	m.recordServerLoad(now, &request.ServerLoad{Slots: 4, Pace: 1})
 	m.scheduler.SetSlots(now, 4)
 	m.target.Slots = 4
-	m.meter.RecordServed(now.Add(-200*time.Millisecond), now, "r", 1)
+	m.meter.RecordServed(now.Add(-200*time.Millisecond), now, "r", 1, false)
 	permit, refusal := m.scheduler.Acquire(t.Context(), now, scheduling.Request{Route: "r", Objective: now.Add(time.Minute), Deadline: now.Add(time.Minute)})
 	require.Nil(t, refusal)
 	permit.MarkSent(now)
