--- a/io/mesh/answer.go
+++ b/io/mesh/answer.go
@@ -68,7 +68,7 @@
 		return
 	}
 	m := s.mesh
-	atUsualPace := m.meter.RecordServed(s.startedAt, ended, s.head.Route, s.pace)
+	atUsualPace := m.meter.RecordServed(s.startedAt, ended, s.head.Route, s.pace, !succeeded(res))
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.demand.RecordServed(s.head.Class, atUsualPace)
