Fix a data race on the queue of a waiting request

Acquire computed how long a request may wait after it had released the scheduler's lock, while another request's end may move it to the queue of late requests. The wait is now computed under the lock.

--- a/core/scheduling/scheduling.go
+++ b/core/scheduling/scheduling.go
@@ -98,6 +98,9 @@
 	since time.Time
 	// late is set if the request is in the queue of late requests.
 	late bool
+	// timeout is how long the request waits at most after since, as maxWait returned it
+	// when the request was queued. late may change afterwards.
+	timeout time.Duration
 	// done receives nil when the request is admitted, or the reason for its
 	// refusal.
 	done chan outcome.Result
@@ -200,7 +203,7 @@
 	if w == nil {
 		return &Permit{scheduler: s, req: req, sentAt: now}, nil
 	}
-	timer := time.NewTimer(w.maxWait(now))
+	timer := time.NewTimer(w.timeout)
 	defer timer.Stop()
 	select {
 	case res := <-w.done:
@@ -209,7 +212,7 @@
 		}
 		return &Permit{scheduler: s, req: req, sentAt: now}, nil
 	case <-timer.C:
-		return s.abandon(w, now, s.rejectWaiter(w, now.Add(w.maxWait(now))))
+		return s.abandon(w, now, s.rejectWaiter(w, now.Add(w.timeout)))
 	case <-ctx.Done():
 		return s.abandon(w, now, outcome.NotRun{Reason: outcome.Cancelled})
 	}
@@ -252,12 +255,14 @@
 	w := &waiter{Request: req, since: now, done: make(chan outcome.Result, 1)}
 	if end := now.Add(wait + service); !end.After(req.Objective) && !end.After(req.Deadline) {
 		level.queue = append(level.queue, w)
+		w.timeout = w.maxWait(now)
 		s.wakeWithToken(now)
 		return w, nil
 	}
 	if s.canQueueLate(now, level, req, wait, service) {
 		w.late = true
 		level.late = append(level.late, w)
+		w.timeout = w.maxWait(now)
 		s.wakeWithToken(now)
 		return w, nil
 	}
