Limit requests whose calls fail only for a loss of a tenth, and for load alone

Cause: requests were rejected already for a loss of one run in twenty, and for calls that end with errors, which fewer requests do not change.

Change: the limit begins at one run in ten, the stated aim, and counts calls that were rejected because of load. The share grows again only below half of that.

--- a/core/callpath/callpath.go
+++ b/core/callpath/callpath.go
@@ -7,16 +7,14 @@
 // of the calls and decides which share of the new requests of each route may start.
 //
 //   - Loss. From the mean number of calls of a run and the recent share of calls that
-//     failed, the expected share of the runs that lose their work is computed.
+//     were rejected because of load, the expected share of the runs that lose their work is
+//     computed. Only rejected calls count. Calls that end with an error fail for a reason that
+//     fewer requests do not change, such as a defect of the called service.
 //   - Decrease. While the loss is above maxLoss, the admitted share is multiplied by
 //     the share of the runs that succeed, between minFactor and maxFactor. Only calls
 //     of runs that started after a decrease count for the next one, since
-//     earlier runs are not affected by it.
-//   - Limit of the decrease. Calls that are answered with a server error may fail for a
-//     reason that fewer requests do not change, such as a defect of the called service.
-//     If the loss is due to them, the share does not fall below the square of
-//     the share of runs that succeed, so that a small loss does not end with nearly
-//     all requests rejected. Rejected calls are due to load, and have no such limit.
+//     earlier runs are not affected by it. A smaller loss is accepted: a rejected request
+//     is lost to its caller as well, so that little is gained.
 //   - Recovery. The share grows in steps while calls succeed, or while none is made.
 //     At least probingShare of the requests is always admitted.
 //
@@ -52,7 +50,7 @@
 const (
 	// maxLoss is the share of runs that may lose their work because of failed calls
 	// without a decrease of the admitted share.
-	maxLoss = 0.05
+	maxLoss = 0.1
 	// minFactor and maxFactor bound the factor of a decrease.
 	minFactor, maxFactor = 0.5, 0.9
 	// recoveryStep is the increase of the admitted share in a step of the recovery. In
@@ -85,8 +83,8 @@
 // Results of calls.
 const (
 	Succeeded Result = iota // the call was answered without a server error
-	Rejected                // the call was rejected, or had no answer
-	Erred                   // the call was answered with a server error
+	Rejected                // the call was rejected because of load
+	Erred                   // the call ended with an error
 )
 
 // route is what is known of a route whose runs make calls.
@@ -162,26 +160,22 @@
 	if elapsed < stepInterval {
 		return
 	}
-	rejected, failed := r.failedShares(now)
-	loss := r.loss(now, failed)
+	rejected, _ := r.failedShares(now)
+	loss := r.loss(now, rejected)
 	switch idle := now.Sub(r.callAt) >= idleTime; {
 	case loss > maxLoss && !idle:
-		lowest := probingShare
-		if r.loss(now, rejected) <= maxLoss {
-			lowest = max(lowest, (1-loss)*(1-loss)) // due to errors
-		}
-		r.decrease(now, loss, lowest)
+		r.decrease(now, loss)
 	case r.share >= 1:
 	case idle:
 		r.increase(now, int(elapsed/stepInterval))
-	case r.succeeded:
+	case r.succeeded && loss <= maxLoss/2:
 		r.increase(now, 1)
 	}
 }
 
-// decrease decreases the admitted share because of the given loss, to no less than lowest.
-func (r *route) decrease(now time.Time, loss, lowest float64) {
-	share := max(r.share*min(max(1-loss, minFactor), maxFactor), lowest)
+// decrease decreases the admitted share because of the given loss.
+func (r *route) decrease(now time.Time, loss float64) {
+	share := max(r.share*min(max(1-loss, minFactor), maxFactor), probingShare)
 	if share >= r.share {
 		return
 	}
--- a/io/mesh/calls.go
+++ b/io/mesh/calls.go
@@ -144,10 +144,10 @@
 	switch reasonOf(res) {
 	case outcome.Cancelled, outcome.NoService, outcome.Malformed, outcome.TooLarge, outcome.Duplicate:
 		return 0, false
-	case outcome.Quarantined, outcome.OnTrial, outcome.TargetCrashed:
-		return callpath.Erred, true // does not depend on the load
-	default:
+	case outcome.Overloaded, outcome.QueueFull, outcome.DeadlinePast, outcome.CallsFailing:
 		return callpath.Rejected, true
+	default:
+		return callpath.Erred, true // does not depend on the load
 	}
 }
 
