Limit only routes whose runs make more than one call

Cause: with one call or fewer for each run, each call that is served completes a run, so that rejecting requests cannot make more of them succeed. Runs that end with their first failed call also hid how many calls a run makes.

Change: such routes are not limited, and only runs without a failed call are counted.

--- a/core/callpath/callpath.go
+++ b/core/callpath/callpath.go
@@ -15,6 +15,9 @@
 //     of runs that started after a decrease count for the next one, since
 //     earlier runs are not affected by it. A smaller loss is accepted: a rejected request
 //     is lost to its caller as well, so that little is gained.
+//   - One call. If a run makes one call in the mean or fewer, each call that is served
+//     completes a run, however many are rejected, and some runs need none. Fewer runs
+//     would then never mean more that succeed, so that such a route is not limited.
 //   - Recovery. The share grows in steps while calls succeed, or while none is made.
 //     At least probingShare of the requests is always admitted.
 //
@@ -66,6 +69,8 @@
 	// callHalfLife is the age at which the result of a call counts half. The number
 	// of calls of a run changes less often.
 	callHalfLife, runHalfLife = 2 * time.Second, 10 * time.Second
+	// unknownCalls is the number of calls of a run while none has succeeded.
+	unknownCalls = 2.0
 	// minFailures is the decayed number of failed calls below which no loss is
 	// assumed, and assumedSuccesses is added to the number of calls. Both keep one or two
 	// failures on a route with few requests from limiting it.
@@ -101,7 +106,7 @@
 	succeeded              bool
 	// callAt is when the last call ended.
 	callAt time.Time
-	// runs and callsOfRuns are the rates of the runs and of their calls.
+	// runs and callsOfRuns are the rates of the runs without a failed call and of their calls.
 	runs, callsOfRuns decay.Rate
 	// notAdmitted is the number of rejected requests, and lowest the lowest share, since
 	// the last report.
@@ -122,11 +127,11 @@
 	r.succeeded = false
 }
 
-// callsPerRun returns the mean number of calls of a run, or 1 if no run has ended.
+// callsPerRun returns the mean number of calls of a run, or unknownCalls if no run has ended.
 func (r *route) callsPerRun(now time.Time) float64 {
 	runs := r.runs.PerSecond(now)
 	if runs <= 0 {
-		return 1
+		return unknownCalls
 	}
 	return r.callsOfRuns.PerSecond(now) / runs
 }
@@ -144,14 +149,14 @@
 	return rejectedCalls / calls, failedCalls / calls
 }
 
-// loss returns the expected share of the runs that lose their work if the given
-// share of calls fails.
-func (r *route) loss(now time.Time, failed float64) float64 {
+// loss returns the expected share of the runs that lose their work if the given share of
+// calls is rejected. It is 0 if runs make one call at most in the mean.
+func (r *route) loss(now time.Time, rejected float64) float64 {
 	calls := r.callsPerRun(now)
-	if calls < 1 {
-		return failed * calls // most runs make no call
+	if calls <= 1 {
+		return 0
 	}
-	return 1 - math.Pow(1-failed, calls)
+	return 1 - math.Pow(1-rejected, calls)
 }
 
 // step changes the admitted share if that is due at now.
@@ -258,7 +263,8 @@
 }
 
 // RunEnded records that a run of the route has ended and has made the given number of
-// calls.
+// calls, none of which failed. A run ends with its first call that fails, so that others do
+// not show how many calls a run needs.
 func (a *Admission) RunEnded(now time.Time, name string, calls int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/io/mesh/calls.go
+++ b/io/mesh/calls.go
@@ -53,7 +53,9 @@
 	} else {
 		delete(p.running, r.head.ID)
 	}
-	p.admission.RunEnded(now, r.head.Route, r.calls)
+	if !r.callFailed {
+		p.admission.RunEnded(now, r.head.Route, r.calls)
+	}
 }
 
 // beginCall counts a call for the request with the given ID and returns that request, or
@@ -70,6 +72,14 @@
 	return parent
 }
 
+// endCall records that a call for parent has ended with result.
+func (p *callPaths) endCall(now time.Time, parent *run, result callpath.Result) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	parent.callFailed = parent.callFailed || result != callpath.Succeeded
+	p.admission.CallEnded(now, parent.head.Route, parent.sentAt, result)
+}
+
 // recognizeCall completes the head of c if c is a call that the local target makes for a request
 // that it is running. A call has the priority of that request, so that it is not served worse
 // than the request itself, and no objective before its deadline, which is not after that of the
@@ -127,7 +137,7 @@
 	}
 	m.metrics.scope.Tagged(map[string]string{"outcome": res.String(), "reason": string(reasonOf(res))}).Counter("calls").Inc(1)
 	if result, counts := callResult(res, c.answer.status); counts {
-		m.callPaths.admission.CallEnded(now, c.head.ParentRoute, c.parent.sentAt, result)
+		m.callPaths.endCall(now, c.parent, result)
 	}
 }
 
--- a/io/mesh/running.go
+++ b/io/mesh/running.go
@@ -47,8 +47,10 @@
 	// that was, if the process seemed to go on.
 	cut   bool
 	cutAt time.Time
-	// calls is the number of calls that the target has made for the request (callPaths).
-	calls int
+	// calls is the number of calls that the target has made for the request, and callFailed is
+	// set if one of them failed (callPaths).
+	calls      int
+	callFailed bool
 	// onTrial is set if the request was a suspect when it was sent, and crashed once it is
 	// quarantined because the target's process has ended.
 	onTrial, crashed bool
