--- a/io/mesh/redirect_load_test.go
+++ b/io/mesh/redirect_load_test.go
@@ -248,8 +248,8 @@
 // of a fleet below and above its capacity.
 func TestRedirectsServeLess(t *testing.T) {
 	const (
-		runs      = 3
-		tolerance = 0.025 // the share in time of a single run varies by 0.01
+		runs      = 8
+		tolerance = 0.025 // the shares of a single run vary by 0.01
 	)
 	for _, row := range []struct {
 		name        string
