--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-go build -o target/review/harness2 review/harness2/*.go
+GOWORK=off go build -buildvcs=false -o target/review/harness2 review/harness2/*.go
--- a/review/harness2/fleet.go
+++ b/review/harness2/fleet.go
@@ -11,14 +11,13 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"siskinknot/standin/metastore"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
-
-	"siskinknot/standin/metastore"
 )
 
 // Names in the operator's configuration.
