--- a/review/harness2/fleet.go
+++ b/review/harness2/fleet.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -50,8 +52,12 @@
 	number int
 	dir    string
 	octet  byte
-	// work is the mean time of a request at a server.
-	work    time.Duration
+	// work is the mean time of a request at a server. It lies between half and one and a half of
+	// that, or is distributed as the sheets say if spread is set.
+	work   time.Duration
+	spread float64
+	// speeds has the speeds of the servers, in turn, relative to the usual one.
+	speeds  []float64
 	ports   ports
 	version atomic.Uint64
 	// services is the operator's table of services, and routes that of routes.
@@ -64,6 +70,7 @@
 	name    string
 	service string
 	zone    string
+	number  int
 	ip      netip.Addr
 	server  *server
 	config  string
@@ -79,8 +86,9 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{rec: rec, number: number, dir: dir, store: newStoreFront(rec), work: 100 * time.Millisecond}
+	f := &fleet{rec: rec, number: number, dir: dir, store: newStoreFront(rec), work: 100 * time.Millisecond, speeds: []float64{1}}
 	f.routes = map[string]any{
+		"r-history":  routeDoc("/history/", "safe", registry, 5000, 1500, 2),
 		"r-lookup":   routeDoc("/lookup/", "safe", registry, 1000, 400, 2),
 		"r-register": routeDoc("/register/", "unsafe", registry, 1200, 500, 1),
 		"r-upload":   routeDoc("/upload/", "upload", archive, 1200, 500, 1),
@@ -103,7 +111,7 @@
 			service = archive
 		}
 		v := &vm{
-			fleet: f, name: fmt.Sprintf("vm-%d-%d", number, i), service: service, zone: fmt.Sprintf("mid-%c", 'a'+i%3), ip: f.ip(i),
+			fleet: f, name: fmt.Sprintf("vm-%d-%d", number, i), service: service, zone: fmt.Sprintf("mid-%c", 'a'+i%3), number: i, ip: f.ip(i),
 			client: &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}},
 		}
 		f.vms = append(f.vms, v)
@@ -128,6 +136,21 @@
 	}
 }
 
+// workTime returns the time of a request at a server. With a spread it is that of the site files: a
+// lognormal one, three times as long for one in a hundred, and at most six times the mean, at the
+// server's speed.
+func (f *fleet) workTime(speed float64) time.Duration {
+	mean := float64(f.work)
+	if f.spread == 0 {
+		return time.Duration((0.5 + rand.Float64()) * mean)
+	}
+	t := mean * math.Exp(f.spread*rand.NormFloat64()-f.spread*f.spread/2)
+	if rand.Float64() < 0.01 {
+		t *= 3
+	}
+	return time.Duration(min(t, 6*mean) / speed)
+}
+
 // ip returns the address of VM number i, counted from 0.
 func (f *fleet) ip(i int) netip.Addr {
 	return netip.AddrFrom4([4]byte{127, 60 + byte(f.number), f.octet, byte(i + 1)})
@@ -359,8 +382,8 @@
 	reject int
 	// lateBy makes the store do the call after that time and never answer.
 	lateBy time.Duration
-	// silent makes the store neither do nor answer the call.
-	silent bool
+	// reset makes the store reset the connection instead.
+	reset bool
 }
 
 // newStoreFront returns a store without faults.
@@ -409,9 +432,11 @@
 	switch {
 	case f.reject != 0:
 		w.WriteHeader(f.reject)
-	case f.silent:
-		<-r.Context().Done()
-		panic(http.ErrAbortHandler)
+	case f.reset:
+		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}
 	case f.lateBy > 0:
 		body, _ := io.ReadAll(r.Body)
 		late := r.Clone(context.Background())
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -16,7 +16,8 @@
 type scenario func(rec *recorder, trouble bool) (broken []string, err error)
 
 var scenarios = map[string]scenario{
-	"lost-relay": lostRelay,
+	"cut-at-stop": cutAtStop,
+	"lost-relay":  lostRelay,
 }
 
 func main() { os.Exit(play()) }
--- a/review/harness2/record.go
+++ b/review/harness2/record.go
@@ -27,6 +27,9 @@
 	replies map[string]answer
 	methods map[string]string
 	sentAt  map[string]time.Time
+	// cuts has when the connection of a request was closed while a server was at work on it, and got
+	// when its client had its answer.
+	cuts, got map[string]time.Time
 }
 
 // hold is a period in which a server holds keys.
@@ -57,6 +60,7 @@
 	return &recorder{
 		start: time.Now(), file: file, out: bufio.NewWriter(file), active: map[string][]*hold{},
 		ran: map[string][]string{}, replies: map[string]answer{}, methods: map[string]string{}, sentAt: map[string]time.Time{},
+		cuts: map[string]time.Time{}, got: map[string]time.Time{},
 	}, nil
 }
 
@@ -94,7 +98,7 @@
 func (r *recorder) answered(q request, a answer) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.replies[a.id] = a
+	r.replies[a.id], r.got[a.id] = a, time.Now()
 	got := strconv.Itoa(a.status)
 	if a.err != nil {
 		got = a.err.Error()
@@ -111,6 +115,14 @@
 	r.line(at, fmt.Sprintf("%s begins %s", server, id))
 }
 
+// cutOff records that the connection of a request was closed while a server was at work on it.
+func (r *recorder) cutOff(id, server string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cuts[id] = time.Now()
+	r.line(r.cuts[id], fmt.Sprintf("%s is cut off from %s, on which it was at work", server, id))
+}
+
 // hold records that a server takes a grant, or a renewal of one.
 func (r *recorder) hold(fleet int, vm, server string, c command, from, until time.Time) {
 	r.mu.Lock()
--- a/review/harness2/server.go
+++ b/review/harness2/server.go
@@ -263,7 +263,7 @@
 	s.mu.Unlock()
 	s.vm.fleet.rec.begin(id, s.vm.name, s.id, r.RequestURI, key, begun)
 	_, _ = io.Copy(io.Discard, r.Body)
-	work := time.Duration((0.5 + rand.Float64()) * float64(s.vm.fleet.work))
+	work := s.vm.fleet.workTime(s.vm.fleet.speeds[s.vm.number%len(s.vm.fleet.speeds)])
 	cut := begun.Add(work).After(until)
 	if cut {
 		work = time.Until(until)
@@ -271,6 +271,7 @@
 	select {
 	case <-time.After(work):
 	case <-r.Context().Done():
+		s.vm.fleet.rec.cutOff(id, s.id)
 	}
 	s.mu.Lock()
 	if s.running[key]--; s.running[key] == 0 {
