mesh: log the phases of a stop

After SIGTERM the log had "leaving" and "stopped" alone: it could not tell requests that still run at the target when the process ends from answers that are being forwarded then, nor which of the waits has used up the time. One line for each phase now has the requests that run, wait and are not finished. No logic is changed.

--- a/cmd/siskinknot/mesh.go
+++ b/cmd/siskinknot/mesh.go
@@ -322,8 +322,14 @@
 	defer cancelLeave()
 	now := boottime.Now()
 	n.mesh.StopAt(now.Add(noticePeriod), now.Add(limit-closeReserve))
+	phaseEnded := func(phase string, complete bool) {
+		load, unfinished := n.mesh.Load()
+		n.log.Info("phase of the stop ended", "phase", phase, "complete", complete, "since_signal_ms", boottime.Now().Sub(now).Milliseconds(),
+			"running", load.Running, "queued", load.Queued, "unfinished", unfinished)
+	}
 	noticed := time.After(noticePeriod)
 	evacuated := n.mesh.Leave(leaveCtx)
+	phaseEnded("transfer", evacuated)
 	select {
 	case <-noticed:
 	case <-leaveCtx.Done():
@@ -331,14 +337,17 @@
 	_ = n.callers.Close()
 	<-n.callersClosed
 	answered := n.callerConns.Drain(ctx)
+	phaseEnded("callers", answered)
 	if !evacuated {
 		// Requests that come through other daemons are served until the keys can
 		// be transferred.
 		lateCtx, cancelLate := context.WithTimeout(ctx, time.Until(deadline)-drainReserve)
 		defer cancelLate()
 		evacuated = n.mesh.Leave(lateCtx)
+		phaseEnded("late transfer", evacuated)
 	}
 	drained := n.mesh.Drain(ctx)
+	phaseEnded("requests", drained)
 	for _, server := range n.servers {
 		_ = server.Close()
 	}
--- a/io/mesh/admission.go
+++ b/io/mesh/admission.go
@@ -26,6 +26,8 @@
 // runRequest runs a request on the target beside this daemon, writes the answer
 // to ex, and logs requests that are not answered in time.
 func (m *Mesh) runRequest(ctx context.Context, head *request.Head, ex forward.Exchange) outcome.Result {
+	m.unfinished.Add(1)
+	defer m.unfinished.Add(-1)
 	times := requestTimes{arrivedAt: boottime.Now()}
 	res := m.runOnTarget(ctx, head, ex, &times)
 	times.finishedAt = boottime.Now()
@@ -35,6 +37,12 @@
 	return res
 }
 
+// Load returns the load of the target beside this daemon, and the number of its requests that are not
+// finished: those that run or wait, and those whose answers are being forwarded.
+func (m *Mesh) Load() (load scheduling.Load, unfinished int) {
+	return m.scheduler.Load(), int(m.unfinished.Load())
+}
+
 // requestTimes records when a request passed the stages at the owning daemon.
 type requestTimes struct {
 	arrivedAt time.Time
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -242,6 +242,9 @@
 	redirects    *redirects
 	// scheduler queues the requests for the target.
 	scheduler *scheduling.Scheduler
+	// unfinished counts the requests for the target that have arrived and whose answers are not
+	// forwarded yet.
+	unfinished atomic.Int64
 	// rate limits the rate of the requests for the target.
 	rate *targetRate
 	// decodeConfig decodes the operator's configuration document.
