test: requests that other daemons forward to one that stops

A daemon that stops while the store is down takes forwarded requests, whatever their deadline, and breaks them off at its server when it ends. The second row checks that requests which end in time are served meanwhile.

--- a/standin/keyserver/keyserver.go
+++ b/standin/keyserver/keyserver.go
@@ -91,8 +91,9 @@
 	ResetReleases float64
 	// LoseHeartbeatAnswers is the share of answers to heartbeats that are lost.
 	LoseHeartbeatAnswers float64
-	// Slow is the factor by which the service times are multiplied.
-	Slow float64
+	// Slow is the factor by which the service times are multiplied, and Delay is added to them.
+	Slow  float64
+	Delay time.Duration
 }
 
 // grant is a range of keys that the server holds until the grant expires. Its
@@ -565,7 +566,7 @@
 	size, _ := io.Copy(io.Discard, r.Body)
 	s.cfg.History.recordBody(id, size)
 	s.crashIfDeadly(r.URL.Path)
-	serviceTime := time.Duration(rand.ExpFloat64() * float64(s.cfg.MeanServiceTime) * f.Slow)
+	serviceTime := time.Duration(rand.ExpFloat64()*float64(s.cfg.MeanServiceTime)*f.Slow) + f.Delay
 	// A request that outlasts the grant under which it began ends with an error,
 	// also if the grant was renewed meanwhile.
 	left := time.Until(grantEnd)
--- a/test/mesh/stop_test.go
+++ b/test/mesh/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -51,3 +52,83 @@
 	}
 	t.Logf("%d of %d requests were refused", refused, callers)
 }
+
+// TestForwardedRequestOutlivesStoppingOwner guards against requests that a stopping daemon takes from other daemons and
+// cuts off at its server when it ends: it cannot transfer its keys, since the store is down.
+func TestForwardedRequestOutlivesStoppingOwner(t *testing.T) {
+	const (
+		// outageBefore is how long before the signal the store goes down, so that the daemon knows it.
+		outageBefore = 3 * time.Second
+		sendAfter    = 4 * time.Second
+	)
+	for _, row := range []struct {
+		name           string
+		delay, timeout time.Duration
+		// served is set if all requests end before the daemon does.
+		served bool
+	}{
+		{"longer than the owner runs", 2 * time.Second, 5 * time.Second, false},
+		{"shorter than the owner runs", 0, 1500 * time.Millisecond, true},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			f := startWithOptions(t, meshfleet.Options{Registry: 3, Archive: 2, MeanServiceTime: 10 * time.Millisecond, RouteTimeout: row.timeout})
+			if !row.served {
+				f.lengthenLeases()
+			}
+			for _, vm := range f.VMs {
+				vm.Server.SetFault(keyserver.Fault{Slow: 1, Delay: row.delay})
+			}
+			f.Store.SetFault(metastore.Fault{Outage: metastore.Reset})
+			time.Sleep(outageBefore)
+			f.VMs[1].Signal(syscall.SIGTERM)
+			time.Sleep(sendAfter)
+			var sent []answer
+			var sending sync.WaitGroup
+			for key := 0; key < 65536; key += 2048 {
+				sending.Go(func() {
+					r := meshfleet.Lookup(uint16(key))
+					r.Deadline = row.timeout
+					a := f.send(f.VMs[0], r)
+					f.mu.Lock()
+					defer f.mu.Unlock()
+					sent = append(sent, a)
+				})
+			}
+			f.VMs[1].Wait()
+			sending.Wait()
+			refused := 0
+			for _, a := range sent {
+				runs := f.History.Runs(a.ID)
+				switch {
+				case a.Status == http.StatusServiceUnavailable && runs == 0 && !row.served:
+					refused++
+				case a.Status == http.StatusInternalServerError && f.History.CutOff(a.ID):
+					// The server has answered.
+				case a.Status != http.StatusOK && (a.latency < row.timeout || row.served):
+					t.Errorf("request %s has run %d times, and its caller got status %d after %v", a.ID, runs, a.Status, a.latency)
+				}
+			}
+			t.Logf("%d of %d requests were refused", refused, len(sent))
+		})
+	}
+}
+
+// lengthenLeases sends requests that take longer than the first leases, so that the daemons get longer ones: a server
+// ends requests that outlast their grants.
+func (f *fleet) lengthenLeases() {
+	const requestsPerCaller = 6
+	for _, vm := range f.VMs {
+		vm.Server.SetFault(keyserver.Fault{Slow: 1, Delay: 1500 * time.Millisecond})
+	}
+	var sending sync.WaitGroup
+	for caller := range 32 {
+		sending.Go(func() {
+			for i := range requestsPerCaller {
+				r := meshfleet.Lookup(uint16(2048*caller + i))
+				r.Deadline = 5 * time.Second
+				f.send(f.VMs[caller%3], r)
+			}
+		})
+	}
+	sending.Wait()
+}
