tcp: keep the connection of a request whose head was just read

A request whose body follows its head may fail with an answer of the daemon's own, at a stop or when its connection has been idle for the limit.

Cause: IdleConnCloser takes a connection for unused until net/http reports it as active, which is after it has read the head of a request. In between there is no input left in the socket that would tell, and the reads of the connection are made to fail. net/http resets the deadline for a request without a body, so that only requests with bodies were hit. The search holds the mutex that the report waits for, and makes a system call for each connection, so that the window is as long as a search.

Evidence: TestRequestReadDuringSearch puts a search between the two moments. Why it works: the report of the active connection now takes back the deadline that the search has set.

--- a/io/tcp/idle.go
+++ b/io/tcp/idle.go
@@ -54,6 +54,8 @@
 	openedAt, idleSince time.Time
 	// limit is the longest limit that was in force at a sweep since then.
 	limit time.Duration
+	// readsEnded is set once the reads of the connection were made to fail.
+	readsEnded bool
 }
 
 // NewIdleConnCloser returns an IdleConnCloser whose current limit is limit(); 0
@@ -96,6 +98,10 @@
 	case http.StateNew:
 		c.conns[conn] = &trackedConn{openedAt: now}
 	case http.StateActive:
+		if tracked := c.conns[conn]; tracked != nil && tracked.readsEnded {
+			// The server had already read a request.
+			_ = conn.SetReadDeadline(time.Time{})
+		}
 		c.conns[conn] = &trackedConn{active: true}
 	case http.StateIdle:
 		c.conns[conn] = &trackedConn{idleSince: now}
@@ -118,7 +124,7 @@
 		}
 		tracked.limit = max(tracked.limit, limit)
 		if now.Sub(tracked.idleSince) >= tracked.limit {
-			endReads(conn)
+			tracked.endReads(conn)
 		}
 	}
 }
@@ -146,17 +152,18 @@
 	defer c.mu.Unlock()
 	for conn, tracked := range c.conns {
 		if !tracked.active && now.Sub(tracked.openedAt) >= firstRequestWait {
-			endReads(conn)
+			tracked.endReads(conn)
 		}
 	}
 	return len(c.conns)
 }
 
 // endReads makes the HTTP server close conn, unless a request has begun to arrive: the server
-// closes a connection whose read fails, and resets the deadline if it has read the beginning
-// of a request.
-func endReads(conn net.Conn) {
+// closes a connection whose read fails. If the server has read the beginning of a request, it
+// resets the deadline, and if it has read the head, note does.
+func (t *trackedConn) endReads(conn net.Conn) {
 	if !hasInput(conn) {
+		t.readsEnded = true
 		_ = conn.SetReadDeadline(time.Unix(1, 0))
 	}
 }
--- a/io/tcp/idle_test.go
+++ b/io/tcp/idle_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -255,3 +256,69 @@
 	_, err = in.ReadByte() // the closer sweeps once a second
 	require.ErrorIs(t, err, io.EOF)
 }
+
+// TestRequestReadDuringSearch guards against requests that fail because the closer searches for unused connections after
+// the server has read their heads and before it reports their connections as active.
+func TestRequestReadDuringSearch(t *testing.T) {
+	for _, row := range []struct {
+		name   string
+		body   string
+		search func(*IdleConnCloser)
+	}{
+		{"drain", "", func(c *IdleConnCloser) { c.closeUnused(time.Now()) }},
+		{"drain, body follows", "body", func(c *IdleConnCloser) { c.closeUnused(time.Now()) }},
+		{"idle for too long", "", func(c *IdleConnCloser) { c.sweep(time.Now().Add(time.Hour)) }},
+		{"idle for too long, body follows", "body", func(c *IdleConnCloser) { c.sweep(time.Now().Add(time.Hour)) }},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			c := NewIdleConnCloser(func() time.Duration { return time.Minute })
+			defer func() { require.NoError(t, c.Close()) }()
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			requests, active := 0, make(chan struct{}, 1)
+			server := &http.Server{
+				ReadHeaderTimeout: time.Minute,
+				ConnState: func(conn net.Conn, state http.ConnState) {
+					if requests == 1 && state == http.StateActive {
+						row.search(c)
+					}
+					c.ConnState(conn, state)
+					if state == http.StateActive {
+						requests++
+						active <- struct{}{}
+					}
+				},
+				Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					body, _ := io.ReadAll(r.Body)
+					select {
+					case <-r.Context().Done():
+						w.WriteHeader(http.StatusBadGateway)
+					case <-time.After(50 * time.Millisecond):
+						_, _ = w.Write(body)
+					}
+				}),
+			}
+			go func() { _ = server.Serve(listener) }()
+			defer func() { _ = server.Close() }()
+			conn, err := net.Dial("tcp", listener.Addr().String())
+			require.NoError(t, err)
+			defer func() { _ = conn.Close() }()
+			require.NoError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
+			in := bufio.NewReader(conn)
+			for range 3 {
+				_, err := fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", len(row.body))
+				require.NoError(t, err)
+				<-active
+				_, err = io.WriteString(conn, row.body)
+				require.NoError(t, err)
+				resp, err := http.ReadResponse(in, nil)
+				require.NoError(t, err)
+				body, err := io.ReadAll(resp.Body)
+				require.NoError(t, err)
+				require.NoError(t, resp.Body.Close())
+				require.Equal(t, http.StatusOK, resp.StatusCode)
+				require.Equal(t, row.body, string(body))
+			}
+		})
+	}
+}
