cmd: transfer keys while callers are drained at a stop

What callers saw: after a planned stop during which the store had been away for a while, a part of the keys was not served for 1.6 s, the time after which the keys of a lost daemon get another owner.

Cause (hypothesis 4): the second attempt to transfer the keys began only when the connections of all callers were drained, and ended 1.2 s before the limit. One request of a caller that took until then left no time for it.

Change: both run at the same time.

Evidence: TestKeysMoveWhileCallersAreDrained, the store back 3.3 s after SIGTERM and a request of a caller running until 5.3 s.

--- a/cmd/siskinknot/mesh.go
+++ b/cmd/siskinknot/mesh.go
@@ -336,16 +336,15 @@
 	}
 	_ = n.callers.Close()
 	<-n.callersClosed
+	// Requests that come through other daemons are served until the keys can be transferred.
+	lateCtx, cancelLate := context.WithTimeout(ctx, time.Until(deadline)-drainReserve)
+	defer cancelLate()
+	lateTransfer := make(chan bool, 1)
+	go func() { lateTransfer <- evacuated || n.mesh.Leave(lateCtx) }()
 	answered := n.callerConns.Drain(ctx)
 	phaseEnded("callers", answered)
-	if !evacuated {
-		// Requests that come through other daemons are served until the keys can
-		// be transferred.
-		lateCtx, cancelLate := context.WithTimeout(ctx, time.Until(deadline)-drainReserve)
-		defer cancelLate()
-		evacuated = n.mesh.Leave(lateCtx)
-		phaseEnded("late transfer", evacuated)
-	}
+	evacuated = <-lateTransfer
+	phaseEnded("late transfer", evacuated)
 	drained := n.mesh.Drain(ctx)
 	phaseEnded("requests", drained)
 	for _, server := range n.servers {
--- a/test/mesh/stop_test.go
+++ b/test/mesh/stop_test.go
@@ -132,3 +132,39 @@
 	}
 	sending.Wait()
 }
+
+// TestKeysMoveWhileCallersAreDrained guards against keys that stay with a daemon until it ends, since it does not
+// try to transfer them while a request of a caller is running.
+func TestKeysMoveWhileCallersAreDrained(t *testing.T) {
+	const (
+		outageBefore = 3 * time.Second
+		// The times below count from the signal. The daemon closes its listener after 3 s and ends after 6 s.
+		sendAfter, storeBackAfter = 2 * time.Second, 3300 * time.Millisecond
+		serviceTime               = 3300 * time.Millisecond
+		// maxGap is less than the time after which the keys of a lost daemon get another owner.
+		maxGap = 600 * time.Millisecond
+	)
+	f := startWithOptions(t, meshfleet.Options{Registry: 3, Archive: 2, MeanServiceTime: 10 * time.Millisecond, RouteTimeout: 5 * time.Second})
+	for _, vm := range f.VMs[3:] {
+		vm.Server.SetFault(keyserver.Fault{Slow: 1, Delay: serviceTime})
+	}
+	f.Store.SetFault(metastore.Fault{Outage: metastore.Reset})
+	time.Sleep(outageBefore)
+	f.VMs[1].Signal(syscall.SIGTERM)
+	time.Sleep(sendAfter)
+	answered := make(chan answer, 1)
+	f.background.Go(func() {
+		r := meshfleet.Upload(1 << 10)
+		r.Deadline = 5 * time.Second
+		answered <- f.send(f.VMs[1], r)
+	})
+	time.Sleep(storeBackAfter - sendAfter)
+	f.Store.SetFault(metastore.Fault{})
+	f.VMs[1].Wait()
+	if gap := f.waitAllKeysServed(f.VMs[0]); gap > maxGap {
+		t.Errorf("some keys were not served for %v after the daemon had ended, want at most %v", gap, maxGap)
+	}
+	if a := <-answered; !a.Complete() {
+		t.Errorf("the caller got %+v after %v", a.Answer, a.latency)
+	}
+}
