mesh: drain requests that wait for the grant of their key

A request may reach the server after the daemon has reported that all requests have ended, and is broken off when it closes its sessions.

Cause: Drain looked at the scheduler, which a request enters after its key was granted, and leaves when its answer has arrived, which may be before that is forwarded. Requests that wait for a grant have passed the check for new requests, and are sent as soon as the grant arrives.

Change: Drain waits for all requests that have arrived and are not finished.

--- a/io/mesh/move.go
+++ b/io/mesh/move.go
@@ -398,15 +398,14 @@
 }
 
 // Drain refuses further requests for this daemon's target and waits until the
-// requests in progress have finished, and the target has released the keys that others
+// requests in progress have finished and their answers are forwarded, and the target has released the keys that others
 // got: nobody tells it to once this process has ended. It reports false if ctx ends first.
 func (m *Mesh) Drain(ctx context.Context) bool {
 	m.mu.Lock()
 	m.draining = true
 	m.mu.Unlock()
 	for {
-		load := m.scheduler.Load()
-		if load.Running == 0 && load.Queued == 0 && !m.disownPending() {
+		if m.unfinished.Load() == 0 && !m.disownPending() {
 			return true
 		}
 		select {
--- a/io/mesh/stop_test.go
+++ b/io/mesh/stop_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,6 +16,7 @@
 	"siskinknot/core/routing"
 	"siskinknot/io/boottime"
 	"siskinknot/io/forward"
+	"siskinknot/io/targetconn"
 )
 
 // TestRequestOutlivesStop guards against requests that are sent to the target although they may run beyond the end of the process.
@@ -136,3 +139,50 @@
 	require.Less(t, time.Since(began), 2*limit)
 	m.tomb.Kill(nil) // ends the call
 }
+
+// sendCountingTarget counts the requests that it answers.
+type sendCountingTarget struct {
+	answeringTarget
+	requests atomic.Int32
+}
+
+// Send implements Target.
+func (c *sendCountingTarget) Send(
+	ctx context.Context, head *request.Head, body io.Reader, instance string,
+) (*targetconn.Response, *request.TargetNotice, outcome.Result) {
+	c.requests.Add(1)
+	return c.answeringTarget.Send(ctx, head, body, instance)
+}
+
+// TestRequestSentAfterDrain guards against requests that reach the target after Drain has reported that all have
+// ended, when the daemon closes its sessions: they wait for the grant of their key when Drain begins.
+func TestRequestSentAfterDrain(t *testing.T) {
+	target := &sendCountingTarget{}
+	m := newDividedMesh(t, target, directory.Assignment{Last: directory.MaxKey, Fence: 1})
+	now := boottime.Now()
+	m.leases.RecordStoreRead(now, 0)
+	m.cfg.HeartbeatInterval = 2 * time.Second // the request waits for 1 s
+	m.target.Ready = true
+	m.scheduler.SetSlots(now, 1)
+	m.disowning.released = true
+	m.StopAt(now, now.Add(10*time.Second))
+	result := make(chan outcome.Result, 1)
+	go func() {
+		head := &request.Head{ID: "r", Service: "s", Key: "7", Header: http.Header{}, Objective: now.Add(5 * time.Second), Deadline: now.Add(5 * time.Second)}
+		body := &forward.Body{Inline: []byte{}, IsInline: true, Abort: func() {}}
+		result <- m.runRequest(context.Background(), head, &localExchange{Sink: nullSink{}, body: body})
+	}()
+	require.Eventually(t, func() bool { _, unfinished := m.Load(); return unfinished == 1 }, time.Second, time.Millisecond)
+	time.Sleep(50 * time.Millisecond) // it waits for the grant
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	drained := m.Drain(ctx)
+	sentBefore := target.requests.Load()
+	m.mu.Lock()
+	h := m.holdingOf(7)
+	h.granted, h.grantedUntil = true, boottime.Now().Add(time.Second)
+	m.notify()
+	m.mu.Unlock()
+	t.Logf("the request ended with %v", <-result)
+	require.False(t, drained && target.requests.Load() > sentBefore, "the request was sent after Drain had reported that all have ended")
+}
