mesh: what a stopping daemon refuses and when its keys can move

Calls of targets were rejected at once although their key got another owner 0.1 s later, which loses the work of their parents.

Causes and changes: - A daemon that has found the store away asks it again 3 s after its last read, since its guardians renew its lease. While it is leaving and has keys, it now asks again at once, with the usual delay between attempts. - The ingress daemon rejected a request at once whose owner is stopping. For a call it now waits for the next owner, as it does for other reasons. - A refusal told when to return if the store was away, but not if no other member accepts keys, so that requests were tried again in vain. - Leave took keys for transferred that no member could receive, and the stop did not try again. It reports false now.

--- a/io/mesh/ingress.go
+++ b/io/mesh/ingress.go
@@ -237,7 +237,7 @@
 			return res
 		}
 		now := boottime.Now()
-		if (ownerStops(res) || retry.OwnerUnavailable(res) && now.After(ownerWaitEnd)) && m.ownerOf(c) == previousOwner {
+		if (ownerStops(c, res) || retry.OwnerUnavailable(res) && now.After(ownerWaitEnd)) && m.ownerOf(c) == previousOwner {
 			return m.withRetryAfter(c, res)
 		}
 		if m.mayTryElsewhere(c, res) {
@@ -255,11 +255,12 @@
 	}
 }
 
-// ownerStops reports whether, according to res, the owner of the key is about to end and the key
-// gets no other owner before.
-func ownerStops(res outcome.Result) bool {
+// ownerStops reports whether, according to res, the owner of the key of c is about to end and no
+// other owner is expected before. A call waits all the same: its parent loses its work if the call
+// is rejected.
+func ownerStops(c *call, res outcome.Result) bool {
 	notRun, ok := res.(outcome.NotRun)
-	return ok && notRun.Reason == outcome.Stopping && notRun.RetryAfter > 0
+	return ok && c.parent == nil && notRun.Reason == outcome.Stopping && notRun.RetryAfter > 0
 }
 
 // noOtherTarget reports whether another attempt at c, which ended with res, would end in the same
--- a/io/mesh/maintenance.go
+++ b/io/mesh/maintenance.go
@@ -221,6 +221,9 @@
 	if m.eraPending() || now.Sub(m.leases.LastStoreReadAt()) > readInterval {
 		return true
 	}
+	if m.leaving && !m.storeOK && len(m.holdings) > 0 {
+		return true // the keys can be transferred once the store answers
+	}
 	member := m.dir.Member(m.cfg.Self)
 	return member != nil && m.leases.HeldUntil(m.dir).Sub(now) < tenure.MinLease/2
 }
--- a/io/mesh/move.go
+++ b/io/mesh/move.go
@@ -335,9 +335,10 @@
 	}
 	m.mu.Lock()
 	staysMember := !m.divided() && m.target.accepting()
+	keysLeft := len(m.holdings) > 0 && m.divided()
 	m.mu.Unlock()
-	if staysMember {
-		return true
+	if keysLeft || staysMember {
+		return staysMember
 	}
 	exitEnded := m.exitEnded(ctx)
 	removed := make(chan error, 1)
@@ -391,7 +392,7 @@
 		return nil
 	}
 	refusal := outcome.NotRun{Reason: outcome.Stopping}
-	if divided && !m.mayTransferAll(now) {
+	if divided && (!m.mayTransferAll(now) || len(m.receiverCandidates(now, m.cfg.Service, m.cfg.Self)) == 0) {
 		refusal.RetryAfter = max(m.stopsAt.Sub(now), lossRetryAfter) // no other member gets the key before
 	}
 	return refusal
--- a/io/tcp/idle_test.go
+++ b/io/tcp/idle_test.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"siskinknot/io/pipeline"
 )
 
 // deadlineConn is a connection that records whether a read was made to fail.
@@ -322,3 +324,79 @@
 		})
 	}
 }
+
+// TestPipelinedRequestReadDuringSearch is TestRequestReadDuringSearch on the connections of package pipeline, before and
+// after a goroutine reads ahead. A search runs before and after each change of state.
+func TestPipelinedRequestReadDuringSearch(t *testing.T) {
+	for _, row := range []struct {
+		name      string
+		pipelined bool
+		search    func(*IdleConnCloser)
+	}{
+		{"drain", false, func(c *IdleConnCloser) { c.closeUnused(time.Now().Add(time.Hour)) }},
+		{"idle", false, func(c *IdleConnCloser) { c.sweep(time.Now().Add(time.Hour)) }},
+		{"drain, reading ahead", true, func(c *IdleConnCloser) { c.closeUnused(time.Now().Add(time.Hour)) }},
+		{"idle, reading ahead", true, func(c *IdleConnCloser) { c.sweep(time.Now().Add(time.Hour)) }},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			c := NewIdleConnCloser(func() time.Duration { return time.Minute })
+			defer func() { require.NoError(t, c.Close()) }()
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			p := pipeline.New(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				body, _ := io.ReadAll(r.Body)
+				select {
+				case <-r.Context().Done():
+					w.WriteHeader(http.StatusBadGateway)
+				case <-time.After(30 * time.Millisecond):
+					_, _ = w.Write(body)
+				}
+			}), pipeline.Config{Depth: 8, MayStart: func(r *http.Request) bool { return r.Method == http.MethodGet }})
+			active := make(chan struct{}, 16)
+			server := &http.Server{
+				Handler: p, ConnContext: p.ConnContext, ReadHeaderTimeout: time.Minute,
+				ConnState: func(conn net.Conn, state http.ConnState) {
+					if state == http.StateActive {
+						row.search(c)
+					}
+					c.ConnState(conn, state)
+					if state == http.StateActive {
+						active <- struct{}{}
+					}
+				},
+			}
+			go func() { _ = server.Serve(p.Listener(listener)) }()
+			defer func() { _ = server.Close() }()
+			conn, err := net.Dial("tcp", listener.Addr().String())
+			require.NoError(t, err)
+			defer func() { _ = conn.Close() }()
+			require.NoError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
+			in := bufio.NewReader(conn)
+			read := func(want string) {
+				resp, err := http.ReadResponse(in, nil)
+				require.NoError(t, err)
+				body, err := io.ReadAll(resp.Body)
+				require.NoError(t, err)
+				require.NoError(t, resp.Body.Close())
+				require.Equal(t, http.StatusOK, resp.StatusCode)
+				require.Equal(t, want, string(body))
+			}
+			if row.pipelined {
+				_, err := io.WriteString(conn, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\nGET /3 HTTP/1.1\r\nHost: h\r\n\r\n")
+				require.NoError(t, err)
+				for range 3 {
+					<-active
+					read("")
+				}
+			}
+			for range 3 {
+				_, err := fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n")
+				require.NoError(t, err)
+				<-active
+				_, err = io.WriteString(conn, "body")
+				require.NoError(t, err)
+				read("body")
+			}
+		})
+	}
+}
