peer: log sessions that are closed with requests unanswered

When a daemon stops, peer.Server.Close drops what is queued in a session and cuts the forwarded requests in progress. Nothing said so: an answer lost in this way looked like a request that was cut off at the target. One line for each such session has the side that closed it, the requests in progress and the bytes that were not sent. The counts are taken before the session is closed. No logic is changed. A counter would not be read any more: the process ends.

--- a/io/peer/batch.go
+++ b/io/peer/batch.go
@@ -20,6 +20,9 @@
 	cond *sync.Cond
 	// pending is the queued data.
 	pending []byte
+	// writing is the size of the batch that is being sent, or whose sending failed, in
+	// bytes.
+	writing int
 	// spare is the buffer of the previous batch, for reuse.
 	spare  []byte
 	err    error
@@ -77,6 +80,8 @@
 		c.spare = batch[:0]
 		if err != nil {
 			c.err = err
+		} else {
+			c.writing = 0
 		}
 		c.cond.Broadcast()
 		c.mu.Unlock()
@@ -98,7 +103,14 @@
 		return nil, false
 	}
 	batch := c.pending
-	c.pending = c.spare
+	c.pending, c.writing = c.spare, len(batch)
 	c.cond.Broadcast()
 	return batch, true
 }
+
+// unsent returns how many bytes were written with Write and not sent.
+func (c *batchConn) unsent() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.pending) + c.writing
+}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -7,7 +7,6 @@
 	"sync"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/hashicorp/yamux"
 	"github.com/rotisserie/eris"
 	"gopkg.in/tomb.v2"
 
@@ -37,14 +36,14 @@
 
 	mu sync.Mutex
 	// open holds the open sessions. It is nil once Close has begun to close them.
-	open map[*yamux.Session]struct{}
+	open map[*serverSession]struct{}
 }
 
 // NewServer returns a Server for the daemon of server. It serves calls that arrive
 // on listener with handler until Close.
 func NewServer(listener net.Listener, server string, handler Handler, log hclog.Logger) *Server {
 	listener = tcp.RetryAccept(listener, func(err error) { log.Warn("failed to accept connection", "error", err) })
-	s := &Server{listener: listener, server: server, handler: handler, log: log, open: map[*yamux.Session]struct{}{}}
+	s := &Server{listener: listener, server: server, handler: handler, log: log, open: map[*serverSession]struct{}{}}
 	s.tomb.Go(func() error {
 		<-s.tomb.Dying()
 		s.closeAll()
@@ -78,22 +77,23 @@
 func (s *Server) Traffic(purpose Purpose) *meter.Traffic { return &s.traffic[purpose] }
 
 // track records an open session. It returns false if the server is closed.
-func (s *Server) track(mux *yamux.Session) bool {
+func (s *Server) track(session *serverSession) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.open == nil {
 		return false
 	}
-	s.open[mux] = struct{}{}
+	s.open[session] = struct{}{}
 	return true
 }
 
-// closeSession closes a session and removes it from the open sessions.
-func (s *Server) closeSession(mux *yamux.Session) {
-	_ = mux.Close()
+// closeSession closes a session that the client has ended, or that has failed, and
+// removes it from the open sessions.
+func (s *Server) closeSession(session *serverSession) {
+	session.close("client")
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.open, mux)
+	delete(s.open, session)
 }
 
 // closeAll closes all sessions.
@@ -102,8 +102,8 @@
 	open := s.open
 	s.open = nil
 	s.mu.Unlock()
-	for mux := range open {
-		_ = mux.Close()
+	for session := range open {
+		session.close("server")
 	}
 }
 
@@ -126,23 +126,23 @@
 	}
 	counted := meter.NewConn(conn, &s.traffic[hello.Purpose])
 	batched := newBatchConn(counted)
-	mux, err := yamux.Server(batched, yamuxConfig())
+	session, err := newServerSession(batched, Purpose(hello.Purpose), s.log)
 	if err != nil {
 		s.log.Error("failed to start session", "from", conn.RemoteAddr(), "error", err)
 		return
 	}
-	if !s.track(mux) {
-		_ = mux.Close()
+	if !s.track(session) {
+		session.close("server")
 		return
 	}
-	defer s.closeSession(mux)
+	defer s.closeSession(session)
 	for {
-		raw, err := mux.AcceptStream()
+		raw, err := session.mux.AcceptStream()
 		if err != nil {
 			return
 		}
 		s.tomb.Go(func() error {
-			s.serveStream(newStream(raw, batched))
+			s.serveStream(session, newStream(raw, batched))
 			return nil
 		})
 	}
@@ -151,7 +151,7 @@
 // serveStream serves the calls of one stream, one after the other. While a
 // forwarded request is being served in another goroutine, it reads the Parts of
 // that request's body.
-func (s *Server) serveStream(stream *Stream) {
+func (s *Server) serveStream(session *serverSession, stream *Stream) {
 	defer func() { _ = stream.Close() }()
 	forwards := make(chan *Incoming)
 	defer close(forwards)
@@ -167,11 +167,12 @@
 		}
 		switch kind := call.Kind.(type) {
 		case *peerpb.Call_Forward:
+			session.beginForward()
 			first := current == nil
 			current = newIncoming(boottime.Now(), kind.Forward, stream)
 			if first {
 				s.tomb.Go(func() error {
-					s.serveForwards(forwards)
+					s.serveForwards(session, forwards)
 					return nil
 				})
 			}
@@ -187,9 +188,10 @@
 }
 
 // serveForwards serves the forwarded requests of one stream, one after the other.
-func (s *Server) serveForwards(forwards <-chan *Incoming) {
+func (s *Server) serveForwards(session *serverSession, forwards <-chan *Incoming) {
 	for in := range forwards {
 		s.handler.Forward(in.ctx, in)
 		in.finish()
+		session.endForward()
 	}
 }
