peer: deliver the answers of forwarded requests before a stop ends

Cause: a request's slot is free once its server has sent the answer, so Drain returned while answers were still being forwarded. Server.Close then closed each session at once. That dropped what was queued in batchConn, cut the handlers that were still writing, and reset the TCP connection if it had unread bytes, which destroys the data that the other daemon has not received. io/daemon.Stop ended in the same way.

Server.Shutdown closes the listener, waits until no forwarded request is in progress, sends what is queued, ends the sending direction, and reads on until the client has closed the connection. A session without requests in progress refuses further ones as not run meanwhile. After the end of the data, frames of yamux are discarded: an error would make it close the connection.

Not covered: a request that the client writes before it has received the end of the connection is unknown to it, as before, though it is not run.

--- a/cmd/siskinknot/mesh.go
+++ b/cmd/siskinknot/mesh.go
@@ -348,6 +348,9 @@
 	}
 	drained := n.mesh.Drain(ctx)
 	phaseEnded("requests", drained)
+	// The target has sent its answers; those of forwarded requests are still sent to other daemons.
+	delivered := n.peerServer.Shutdown(ctx)
+	phaseEnded("answers", delivered)
 	for _, server := range n.servers {
 		_ = server.Close()
 	}
@@ -357,7 +360,7 @@
 	_ = n.peerServer.Close()
 	_ = n.peerPool.Close()
 	n.target.Close()
-	return evacuated && drained && answered
+	return evacuated && drained && answered && delivered
 }
 
 // listen opens a TCP socket that listens at addr. It waits for an address that is in use.
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -260,8 +260,9 @@
 	_ = d.listeners.callers.Close()
 	<-d.callersClosed
 	answered := d.callerConns.Drain(ctx)
+	delivered := d.peers.Shutdown(ctx)
 	d.Close()
-	return drained && answered
+	return drained && answered && delivered
 }
 
 // waitIdle waits until no request runs at the target or is queued for it. It returns
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -11,7 +11,10 @@
 import (
 	"net"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 // Traffic counts bytes of payload, without the headers of TCP and IP. Several
@@ -53,6 +56,25 @@
 	return n, err
 }
 
+// CloseWrite ends the sending direction of the connection. It returns an error if the
+// connection has no such operation, as those that are not TCP connections.
+func (c *Conn) CloseWrite() error {
+	conn, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return eris.Errorf("connection of type %T has no CloseWrite", c.Conn)
+	}
+	return conn.CloseWrite()
+}
+
+// SyscallConn implements syscall.Conn. It returns an error if the connection does not.
+func (c *Conn) SyscallConn() (syscall.RawConn, error) {
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, eris.Errorf("connection of type %T has no file descriptor", c.Conn)
+	}
+	return conn.SyscallConn()
+}
+
 // SinceLastRead returns the time since the last Read returned, that is, since
 // data was last received on a working connection. If there was no Read, it is
 // the time since the Conn was created.
--- a/io/peer/batch.go
+++ b/io/peer/batch.go
@@ -1,8 +1,13 @@
 package peer
 
 import (
+	"context"
 	"net"
 	"sync"
+
+	"github.com/rotisserie/eris"
+
+	"siskinknot/io/meter"
 )
 
 // maxBatchBytes is the amount of queued data, in bytes, from which on Write
@@ -14,7 +19,7 @@
 // several streams write concurrently: a batch takes one system call. If sending a
 // batch fails, the next Write returns the error.
 type batchConn struct {
-	net.Conn
+	*meter.Conn
 
 	mu   sync.Mutex
 	cond *sync.Cond
@@ -27,20 +32,23 @@
 	spare  []byte
 	err    error
 	closed bool
+	// writeClosed is set once CloseWrite has ended the sending direction.
+	writeClosed bool
 
 	reads streamReads
 }
 
 // newBatchConn returns conn with batched writes. It starts a goroutine, which
 // ends when the connection is closed or a write fails.
-func newBatchConn(conn net.Conn) *batchConn {
+func newBatchConn(conn *meter.Conn) *batchConn {
 	c := &batchConn{Conn: conn}
 	c.cond = sync.NewCond(&c.mu)
 	go c.writeLoop()
 	return c
 }
 
-// Write implements net.Conn. It returns as soon as the data is queued.
+// Write implements net.Conn. It returns as soon as the data is queued. After CloseWrite it
+// discards the data: an error would make yamux close the connection.
 func (c *batchConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -53,11 +61,40 @@
 	if c.err != nil {
 		return 0, c.err
 	}
+	if c.writeClosed {
+		return len(p), nil
+	}
 	c.pending = append(c.pending, p...)
 	c.cond.Broadcast()
 	return len(p), nil
 }
 
+// CloseWrite sends the queued data and then ends the sending direction of the connection.
+// It returns an error if ctx ends before the data is sent, or the connection fails.
+func (c *batchConn) CloseWrite(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.cond.Broadcast()
+	})
+	defer stop()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for len(c.pending)+c.writing > 0 && c.err == nil && !c.closed && ctx.Err() == nil {
+		c.cond.Wait()
+	}
+	switch {
+	case c.closed:
+		return net.ErrClosed
+	case c.err != nil:
+		return c.err
+	case len(c.pending)+c.writing > 0:
+		return eris.Wrap(ctx.Err(), "send queued data")
+	}
+	c.writeClosed = true
+	return c.Conn.CloseWrite()
+}
+
 // Close implements net.Conn.
 func (c *batchConn) Close() error {
 	c.mu.Lock()
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"io"
+	"maps"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/rotisserie/eris"
@@ -37,6 +41,8 @@
 	mu sync.Mutex
 	// open holds the open sessions. It is nil once Close has begun to close them.
 	open map[*serverSession]struct{}
+	// stopping is set once no further session is accepted.
+	stopping bool
 }
 
 // NewServer returns a Server for the daemon of server. It serves calls that arrive
@@ -47,7 +53,10 @@
 	s.tomb.Go(func() error {
 		<-s.tomb.Dying()
 		s.closeAll()
-		return s.listener.Close()
+		if err := s.listener.Close(); !errors.Is(err, net.ErrClosed) {
+			return err
+		}
+		return nil
 	})
 	s.tomb.Go(func() error {
 		for {
@@ -64,6 +73,42 @@
 	return s
 }
 
+// Shutdown ends all sessions gracefully. It accepts no further ones, waits until the forwarded
+// requests in progress are answered or ctx ends, and sends the answers, for which it takes up
+// to minFlushTime also if ctx has ended. Requests that arrive on a session with a request in
+// progress are served, others are refused. Shutdown reports whether all requests were
+// answered and the answers were sent. Close must be called afterwards.
+func (s *Server) Shutdown(ctx context.Context) bool {
+	s.mu.Lock()
+	s.stopping = true
+	s.mu.Unlock()
+	_ = s.listener.Close()
+	answered := s.forEachSession(func(session *serverSession) bool { return session.awaitForwards(ctx) })
+	flushCtx, cancel := withMinTime(ctx, minFlushTime)
+	defer cancel()
+	sent := s.forEachSession(func(session *serverSession) bool { return session.finish(flushCtx) })
+	return answered && sent
+}
+
+// forEachSession calls f concurrently for the open sessions, and reports whether it returned
+// true for all.
+func (s *Server) forEachSession(f func(*serverSession) bool) bool {
+	s.mu.Lock()
+	open := slices.Collect(maps.Keys(s.open))
+	s.mu.Unlock()
+	var failed atomic.Bool
+	var calls sync.WaitGroup
+	for _, session := range open {
+		calls.Go(func() {
+			if !f(session) {
+				failed.Store(true)
+			}
+		})
+	}
+	calls.Wait()
+	return !failed.Load()
+}
+
 // Close closes the listener and all sessions, and waits until their goroutines have
 // ended. It returns the error with which accepting connections or closing the
 // listener failed, if any.
@@ -76,13 +121,17 @@
 // received and sent.
 func (s *Server) Traffic(purpose Purpose) *meter.Traffic { return &s.traffic[purpose] }
 
-// track records an open session. It returns false if the server is closed.
+// track records an open session. It returns false if the server is closed. A session whose
+// handshake ends during Shutdown refuses all forwarded requests.
 func (s *Server) track(session *serverSession) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.open == nil {
 		return false
 	}
+	if s.stopping {
+		session.refuseForwards()
+	}
 	s.open[session] = struct{}{}
 	return true
 }
@@ -90,7 +139,7 @@
 // closeSession closes a session that the client has ended, or that has failed, and
 // removes it from the open sessions.
 func (s *Server) closeSession(session *serverSession) {
-	session.close("client")
+	session.close(closedByClient)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.open, session)
@@ -100,17 +149,19 @@
 func (s *Server) closeAll() {
 	s.mu.Lock()
 	open := s.open
-	s.open = nil
+	s.open, s.stopping = nil, true
 	s.mu.Unlock()
 	for session := range open {
-		session.close("server")
+		session.close(closedByServer)
 	}
 }
 
-// acceptError returns the error that ends the accept loop: nil if Close closed the
-// listener, otherwise err.
+// acceptError returns the error that ends the accept loop: nil if Shutdown or Close closed
+// the listener, otherwise err.
 func (s *Server) acceptError(err error) error {
-	if !s.tomb.Alive() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping || !s.tomb.Alive() {
 		return nil
 	}
 	return eris.Wrap(err, "accept")
@@ -132,7 +183,7 @@
 		return
 	}
 	if !s.track(session) {
-		session.close("server")
+		session.close(closedByServer)
 		return
 	}
 	defer s.closeSession(session)
@@ -167,7 +218,10 @@
 		}
 		switch kind := call.Kind.(type) {
 		case *peerpb.Call_Forward:
-			session.beginForward()
+			if !session.beginForward() {
+				refuse(stream)
+				continue
+			}
 			first := current == nil
 			current = newIncoming(boottime.Now(), kind.Forward, stream)
 			if first {
--- a/io/peer/stream_test.go
+++ b/io/peer/stream_test.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/yamux"
 	"github.com/stretchr/testify/require"
 
+	"siskinknot/io/meter"
 	"siskinknot/io/peer/peerpb"
 )
 
@@ -53,7 +54,7 @@
 			require.NoError(t, err)
 			remote, err := yamux.Server(accepted, yamuxConfig())
 			require.NoError(t, err)
-			batched := newBatchConn(slowCloseConn{conn, closeTime})
+			batched := newBatchConn(meter.NewConn(slowCloseConn{conn, closeTime}, &meter.Traffic{}))
 			local, err := yamux.Client(batched, yamuxConfig())
 			require.NoError(t, err)
 			var readers sync.WaitGroup
