peer: requests on streams of ended sessions are not run

Cause: a pool handed out idle streams of a session that had ended, until its monitor had removed it, and the result of a request whose write failed on a stream that had ended was unknown. Nothing of such a request, or not all of it, is sent, so the owner cannot run it.

takeStream returns an error for such a session, so that the pool connects anew.

--- a/io/peer/pool.go
+++ b/io/peer/pool.go
@@ -52,8 +52,11 @@
 	idle []*Stream
 }
 
-// takeStream returns an idle stream, or a new one.
+// takeStream returns an idle stream, or a new one. It returns an error if the session has ended.
 func (s *session) takeStream() (*Stream, error) {
+	if s.mux.IsClosed() {
+		return nil, yamux.ErrSessionShutdown
+	}
 	s.mu.Lock()
 	if n := len(s.idle); n > 0 {
 		stream := s.idle[n-1]
