daemon: refuse requests whose deadline is after the end of a stop

What callers saw: a daemon that was stopped while the log was down took all requests until its shutdown limit had passed, whatever their deadline, and cut off those at its target. Their callers got "unknown" (504 connection_cut, or a closed connection at the stopping daemon itself), and idempotent ones ran twice.

Cause: Leave ends only once the keys are transferred, so it uses up the whole shutdown limit. Meanwhile nothing compares deadlines with the end of the process: neither Forward nor the ingress nor the queue.

Stop now tells the limiter of the target when the process ends. The limiter refuses requests with a later deadline as not run, with the reason "stopping": those that arrive, from callers or from other daemons, and those that wait. The ingress daemon of a forwarded request tries again as for other changes of owner, so that the next owner runs it. Requests with a nearer deadline are served as before.

The ingress of a stopping daemon refuses such requests of its own callers at once and from the signal on, also those for keys of other daemons: the answer could not be delivered. Callers of this daemon ask for no readiness, so that a grace period would tell them nothing: the refusal, which closes its connection, is the notice, and the caller tries another daemon. A request that was already sent to a target is waited for until the limit, as before.

Not covered: a refusal that is being sent when the process closes its sessions with other daemons.

--- a/cmd/siskinknot/daemon.go
+++ b/cmd/siskinknot/daemon.go
@@ -59,7 +59,7 @@
 		return subcommands.ExitFailure
 	case <-signals:
 	}
-	stopCtx, cancel := context.WithTimeout(ctx, cfg.ShutdownLimit.Duration())
+	stopCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
 		<-signals
--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -14,6 +14,9 @@
 // The concurrency limit adapts to a target that sheds load: it shrinks with each
 // request that the target refuses and grows back as others succeed.
 //
+// Once it is known when the process ends (StopAt), requests whose deadline is later are
+// refused, those in the queue included: they might be cut off while they run.
+//
 // # Usage
 //
 //	limiter := admission.New(admission.Limits{Slots: 12, QueueLength: 256, BulkPercent: 50, ClassQueues: true})
@@ -85,6 +88,8 @@
 	// serviceTimes is the moving average of the service time by class; zero if it
 	// has not been measured.
 	serviceTimes [request.NumClasses]time.Duration
+	// stopsAt is when the process ends at the latest; zero if it is not known.
+	stopsAt time.Time
 }
 
 // New returns a Limiter with the given limits.
@@ -111,6 +116,30 @@
 	l.admitWaiting()
 }
 
+// StopAt declares that the process ends at stopsAt at the latest, and refuses the waiting
+// requests whose deadline is later. Those that were admitted keep their slots.
+func (l *Limiter) StopAt(stopsAt time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stopsAt = stopsAt
+	for _, queue := range l.queues {
+		queue.refuseIf(l.outlivesStop)
+	}
+}
+
+// OutlivesStop reports whether a request with the given deadline may still run when the
+// process ends.
+func (l *Limiter) OutlivesStop(deadline time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.outlivesStop(deadline)
+}
+
+// outlivesStop is OutlivesStop for a caller that holds the mutex.
+func (l *Limiter) outlivesStop(deadline time.Time) bool {
+	return !l.stopsAt.IsZero() && deadline.After(l.stopsAt)
+}
+
 // Permit is the right to use a slot. The caller of Acquire must call Done exactly
 // once.
 type Permit struct {
@@ -151,6 +180,9 @@
 func (l *Limiter) tryAdmit(now time.Time, req Request) (*waiter, outcome.Result) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.outlivesStop(req.Deadline) {
+		return nil, outcome.NotRun{Reason: outcome.Stopping}
+	}
 	queue := l.queues[l.queueOf(req.Class)]
 	if l.hasFreeSlot(req.Class) && queue.length == 0 {
 		l.takeSlot(req.Class)
@@ -166,7 +198,7 @@
 	if queue.length >= l.limits.QueueLength && !queue.evictFor(caller) {
 		return nil, outcome.NotRun{Reason: outcome.QueueFull, RetryAfter: l.estimate(queue, req.Class, caller) / 2}
 	}
-	w := &waiter{class: req.Class, caller: caller, done: make(chan outcome.Result, 1)}
+	w := &waiter{class: req.Class, caller: caller, deadline: req.Deadline, done: make(chan outcome.Result, 1)}
 	if queue.length == 0 {
 		l.raisePass(l.queueOf(req.Class))
 	}
--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -111,6 +111,30 @@
 	}
 }
 
+// TestRequestOutlivesStop guards against requests that begin although the process may end before their deadline.
+func TestRequestOutlivesStop(t *testing.T) {
+	const stopsIn = time.Second
+	l := New(Limits{Slots: 1, QueueLength: 8, BulkPercent: 50, ClassQueues: true, FairQueueing: true})
+	_, refusal := tryAcquire(l, request.Lookup, "a", time.Minute)
+	require.Nil(t, refusal)
+	inTime, _ := tryAcquire(l, request.Lookup, "a", stopsIn)
+	late, _ := tryAcquire(l, request.Lookup, "b", stopsIn+1)
+	lateWrite, _ := tryAcquire(l, request.Write, "b", time.Minute)
+	l.StopAt(testTime.Add(stopsIn))
+	for _, w := range []*waiter{late, lateWrite} {
+		require.True(t, admitted(w), "a waiting request is refused at once")
+		require.Equal(t, outcome.NotRun{Reason: outcome.Stopping}, <-w.done)
+	}
+	require.Equal(t, 1, l.Load().Queued)
+	_, refusal = tryAcquire(l, request.Internal, "a", stopsIn+1)
+	require.Equal(t, outcome.NotRun{Reason: outcome.Stopping}, refusal)
+	_, refusal = tryAcquire(l, request.Internal, "a", stopsIn)
+	require.Nil(t, refusal)
+	release(l, time.Millisecond, Served)
+	require.True(t, admitted(inTime))
+	require.Nil(t, <-inTime.done, "a request that ends in time runs")
+}
+
 func TestSheddingLowersLimit(t *testing.T) {
 	l := New(Limits{Slots: 10, QueueLength: 8})
 	for range 20 {
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"time"
 
 	"siskinknot/core/outcome"
 	"siskinknot/core/request"
@@ -9,8 +10,9 @@
 
 // waiter is a request in a queue.
 type waiter struct {
-	class  request.Class
-	caller string
+	class    request.Class
+	caller   string
+	deadline time.Time
 	// done receives nil when the request is admitted, or the reason for its
 	// refusal.
 	done chan outcome.Result
@@ -85,6 +87,21 @@
 	return true
 }
 
+// refuseIf refuses the requests for whose deadline late returns true: the process ends
+// before.
+func (q *classQueue) refuseIf(late func(deadline time.Time) bool) {
+	for _, cq := range q.callers {
+		for elem := cq.waiters.Front(); elem != nil; {
+			w := elem.Value.(*waiter)
+			elem = elem.Next()
+			if late(w.deadline) {
+				q.remove(w)
+				w.done <- outcome.NotRun{Reason: outcome.Stopping}
+			}
+		}
+	}
+}
+
 // ahead returns the number of requests that would run before a new one of caller.
 func (q *classQueue) ahead(caller string) int {
 	own := 0
--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -82,6 +82,7 @@
 	CallsFailing  Reason = "calls_failing"  // calls that targets make for such requests fail
 	QueueFull     Reason = "queue_full"     // the queue holds too many requests
 	Draining      Reason = "draining"       // the daemon or its target is about to leave the fleet
+	Stopping      Reason = "stopping"       // the daemon ends before the deadline of the request
 	Evacuated     Reason = "evacuated"      // the operator has evacuated the zone of the target
 	Shed          Reason = "shed"           // the target refused the request and did not run it
 	DeadlinePast  Reason = "deadline_past"  // the deadline passed before the request was sent
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -109,15 +109,16 @@
 }
 
 // OwnerUnavailable reports whether, according to res, no target ran the request because
-// the owner of the key is changing or unreachable, because the zone of the target is evacuated,
-// or because another request like it has to end first.
+// the owner of the key is changing, stopping or unreachable, because the zone of the target
+// is evacuated, or because another request like it has to end first.
 func OwnerUnavailable(res outcome.Result) bool {
 	notRun, ok := res.(outcome.NotRun)
 	if !ok {
 		return false
 	}
 	switch notRun.Reason {
-	case outcome.NotOwner, outcome.NoOwner, outcome.NoLease, outcome.Draining, outcome.Evacuated, outcome.Unreachable, outcome.Fenced, outcome.OnTrial:
+	case outcome.NotOwner, outcome.NoOwner, outcome.NoLease, outcome.Draining, outcome.Stopping, outcome.Evacuated, outcome.Unreachable,
+		outcome.Fenced, outcome.OnTrial:
 		return true
 	default:
 		return false
--- a/io/caller/attempt.go
+++ b/io/caller/attempt.go
@@ -18,12 +18,16 @@
 
 // sendWithRetries sends a request until it is answered or may not be sent again:
 // once its answer has started, once part of its body stream was read, or when
-// the retry policy allows no further attempt.
+// the retry policy allows no further attempt. A request that may still run when this
+// process ends is not sent either, whoever owns its key: its answer could not be delivered.
 func (ing *Ingress) sendWithRetries(ctx context.Context, c *call, sink *responseSink) outcome.Result {
 	ing.budget.Deposit(c.values.RetryBudgetPercent)
 	policy := retry.Policy{MaxAttempts: c.values.RetryAttempts}
 	var last outcome.Result
 	for {
+		if ing.runner.OutlivesStop(c.head.Deadline) {
+			return refusedByStop(last)
+		}
 		c.attempts++
 		res := ing.sendOnce(ctx, c, sink, last)
 		last = res
@@ -42,6 +46,15 @@
 	}
 }
 
+// refusedByStop returns the result of a request that is not sent because this process ends.
+// last is the result of its previous attempt, or nil.
+func refusedByStop(last outcome.Result) outcome.Result {
+	if unknown, ok := last.(outcome.Unknown); ok {
+		return unknown
+	}
+	return outcome.NotRun{Reason: outcome.Stopping}
+}
+
 // waitBeforeRetry waits for delay before a retry. If res names a log offset,
 // this daemon's state was older than the owner's; waitBeforeRetry then first
 // waits until that offset is applied, for up to 10 times delay.
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -252,10 +252,15 @@
 func (d *Daemon) Failed() <-chan struct{} { return d.member.Failed() }
 
 // Stop leaves the fleet and ends the daemon. New requests are routed to other
-// daemons. Stop waits for the requests in progress until ctx ends. It returns
-// true if no request was aborted.
+// daemons. Stop waits for the requests in progress until the shutdown limit has passed or ctx
+// ends. Requests whose deadline is later are not begun. It returns true if the keys were
+// transferred and no request was aborted.
 func (d *Daemon) Stop(ctx context.Context) bool {
+	limit := d.cfg.ShutdownLimit.Duration()
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
 	d.stopping.Store(true)
+	d.runner.StopAt(boottime.Now().Add(limit))
 	drained := d.member.Leave(ctx) && d.waitIdle(ctx)
 	_ = d.listeners.callers.Close()
 	<-d.callersClosed
--- a/io/target/runner.go
+++ b/io/target/runner.go
@@ -85,6 +85,14 @@
 // Load returns the load of the target as measured by this daemon.
 func (r *Runner) Load() admission.Load { return r.limiter.Load() }
 
+// StopAt declares that this process ends at stopsAt at the latest. Run then refuses the
+// requests whose deadline is later.
+func (r *Runner) StopAt(stopsAt time.Time) { r.limiter.StopAt(stopsAt) }
+
+// OutlivesStop reports whether a request with the given deadline may still run when this
+// process ends.
+func (r *Runner) OutlivesStop(deadline time.Time) bool { return r.limiter.OutlivesStop(deadline) }
+
 // Run runs a request at this daemon's target and passes the response to ex. The
 // result says whether the request ran.
 func (r *Runner) Run(ctx context.Context, head *request.Head, ex Exchange) outcome.Result {
