daemon: leave time for answers at the end of a stop

What callers saw: at the end of the shutdown limit of a daemon that could not reach the log, connections were closed with requests unanswered, which had arrived or were still arriving.

Cause: Leave waits for the log until the context of the whole stop ends, and with it ends the time to wait for the target and to drain the connections of callers: all were closed at once, the listener included.

Leave now ends 0.4 s before the limit, and so does the latest deadline of requests that are still begun. In what is left the listener is closed, the connections are drained as in a stop with the log up, and requests that were at the target before the signal may end until the limit.

Not covered: connections that the kernel has accepted and the process has not are reset when the listener is closed.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -251,6 +251,11 @@
 // stopped because an invariant was violated.
 func (d *Daemon) Failed() <-chan struct{} { return d.member.Failed() }
 
+// closeReserve is the time at the end of the shutdown limit in which the daemon begins no
+// requests, and closes the connections of callers once they have their answers. It is longer
+// than a new connection may wait for its first request (tcp.IdleConnCloser).
+const closeReserve = 400 * time.Millisecond
+
 // Stop leaves the fleet and ends the daemon. New requests are routed to other
 // daemons. Stop waits for the requests in progress until the shutdown limit has passed or ctx
 // ends. Requests whose deadline is later are not begun. It returns true if the keys were
@@ -259,14 +264,17 @@
 	limit := d.cfg.ShutdownLimit.Duration()
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	servingCtx, cancelServing := context.WithTimeout(ctx, limit-closeReserve)
+	defer cancelServing()
 	d.stopping.Store(true)
-	d.runner.StopAt(boottime.Now().Add(limit))
-	drained := d.member.Leave(ctx) && d.waitIdle(ctx)
+	d.runner.StopAt(boottime.Now().Add(limit - closeReserve))
+	left := d.member.Leave(servingCtx) && d.waitIdle(servingCtx)
 	_ = d.listeners.callers.Close()
 	<-d.callersClosed
 	answered := d.callerConns.Drain(ctx)
+	idle := d.waitIdle(ctx)
 	d.Close()
-	return drained && answered
+	return left && answered && idle
 }
 
 // waitIdle waits until no request runs at the target or is queued for it. It returns
