daemon: log and count how interfaces accept connections

The users' record has a daemon that answers that it is ready and takes none of 66 new connections in 3451 ms. Only an error of accept leaves a log line today; a goroutine that accepts and is held up, a queue that is not served since the process does not run, and connections that never arrive look the same.

The listener counts connections and errors, and measures how long the server takes between two calls of accept: net/http calls ConnState and ConnContext there. The queue of the listening socket is read from TCP_INFO; where the system refuses that it is unknown. Two looks a second; a line every 5 s, and one at the beginning and the end of a time in which connections wait. No logic is changed.

Measured: TestAcceptLoad (one connection held in ConnState for 20 ms, two queued).

--- a/cmd/siskinknot/mesh.go
+++ b/cmd/siskinknot/mesh.go
@@ -166,6 +166,8 @@
 	// callerConns has the connections of callers, and otherConns those of the other
 	// interfaces. Both close connections that are idle for longer than idleTimeout.
 	callerConns, otherConns *tcp.IdleConnCloser
+	// accepts watches how the interfaces accept connections.
+	accepts *acceptWatch
 }
 
 // startNode creates the components of a daemon, connects them, and starts to serve.
@@ -237,13 +239,18 @@
 	n.callerConns, n.otherConns = tcp.NewIdleConnCloser(n.idleTimeout), tcp.NewIdleConnCloser(n.idleTimeout)
 	callers := n.newServer(ingress, n.callerConns)
 	callers.ConnContext = ingress.ConnContext
+	callerAcceptor, readinessAcceptor := n.acceptor(l.callers), n.acceptor(l.readiness)
 	go func() {
 		defer close(n.callersClosed)
-		n.run(callers, ingress.Listener(l.callers))
+		n.run(callers, ingress.Listener(callerAcceptor))
 	}()
-	go n.run(n.newServer(platform.ReadinessHandler(n.mesh), n.otherConns), l.readiness)
+	go n.run(n.newServer(platform.ReadinessHandler(n.mesh), n.otherConns), readinessAcceptor)
+	n.accepts = watchAccepts(n.log, n.mesh.Ready, []*watchedInterface{
+		newWatchedInterface("callers", callerAcceptor, n.telemetry.Scope),
+		newWatchedInterface("readiness", readinessAcceptor, n.telemetry.Scope),
+	})
 	heartbeats := platform.HeartbeatHandler(n.mesh, n.cfg.TargetAddress, n.cfg.Service, n.log.Named("target"))
-	go n.run(n.newServer(heartbeats, n.otherConns), l.heartbeats)
+	go n.run(n.newServer(heartbeats, n.otherConns), n.acceptor(l.heartbeats))
 	if n.cfg.MetricsAddress.IsValid() {
 		metrics := n.newServer(n.telemetry.Metrics, n.otherConns)
 		go n.runMetrics(metrics)
@@ -266,12 +273,16 @@
 
 // run serves the connections of listener until the server or the listener is closed.
 func (n *node) run(server *http.Server, listener net.Listener) {
-	listener = tcp.RetryAccept(listener, func(err error) { n.log.Warn("failed to accept connection", "error", err) })
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		n.log.Error("interface stopped", "address", listener.Addr(), "error", err)
 	}
 }
 
+// acceptor returns a listener for l that logs errors of accept and tries again.
+func (n *node) acceptor(l net.Listener) *tcp.Acceptor {
+	return tcp.RetryAccept(l, func(err error) { n.log.Warn("failed to accept connection", "error", err) })
+}
+
 // runMetrics serves metrics once their address is free: the daemon starts without them.
 func (n *node) runMetrics(server *http.Server) {
 	listener, err := n.listen(context.Background(), n.cfg.MetricsAddress)
@@ -279,7 +290,7 @@
 		n.log.Error("metrics are not served", "error", err)
 		return
 	}
-	n.run(server, listener)
+	n.run(server, n.acceptor(listener))
 }
 
 // idleTimeout returns how long a connection may be idle according to the current
@@ -352,6 +363,7 @@
 		_ = server.Close()
 	}
 	_, _ = n.callerConns.Close(), n.otherConns.Close()
+	_ = n.accepts.Close()
 	_ = n.watch.Close()
 	_ = n.mesh.Close()
 	_ = n.peerServer.Close()
--- a/io/tcp/accept_test.go
+++ b/io/tcp/accept_test.go
@@ -51,3 +51,49 @@
 		})
 	}
 }
+
+// TestAcceptLoad guards against a server that accepts no connections while its process answers elsewhere that all is
+// well, and leaves no trace of it: ConnState runs in the goroutine that accepts.
+func TestAcceptLoad(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	acceptor := RetryAccept(inner, func(error) {})
+	proceed := make(chan struct{})
+	server := &http.Server{
+		ReadHeaderTimeout: time.Minute,
+		Handler:           http.NotFoundHandler(),
+		ConnState: func(_ net.Conn, state http.ConnState) {
+			if state == http.StateNew {
+				<-proceed
+			}
+		},
+	}
+	go func() { _ = server.Serve(acceptor) }()
+	defer func() { _ = server.Close() }()
+	require.Equal(t, AcceptLoad{}, acceptor.TakeLoad(time.Now()))
+	for range 3 {
+		conn, dialErr := net.Dial("tcp", inner.Addr().String())
+		require.NoError(t, dialErr)
+		defer func() { _ = conn.Close() }()
+	}
+	require.Eventually(t, func() bool { return acceptor.TakeLoad(time.Now()).Accepted == 1 }, 5*time.Second, time.Millisecond)
+	time.Sleep(20 * time.Millisecond)
+	held := acceptor.TakeLoad(time.Now())
+	require.Equal(t, int64(1), held.Accepted)
+	require.Equal(t, 2, held.Queued)
+	require.GreaterOrEqual(t, held.LongestHold, 20*time.Millisecond)
+	close(proceed)
+	require.Eventually(t, func() bool { return acceptor.TakeLoad(time.Now()).Accepted == 3 }, 5*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return acceptor.TakeLoad(time.Now()).LongestHold == 0 }, 5*time.Second, time.Millisecond)
+	require.Zero(t, acceptor.TakeLoad(time.Now()).Queued)
+}
+
+// TestQueueUnknown guards against a system that does not tell the queue of a listening socket: that is no error.
+func TestQueueUnknown(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	acceptor := RetryAccept(&failingListener{Listener: inner}, func(error) {})
+	require.Equal(t, -1, acceptor.TakeLoad(time.Now()).Queued)
+	require.NoError(t, acceptor.Close())
+	require.Equal(t, -1, RetryAccept(inner, nil).TakeLoad(time.Now()).Queued, "closed listener")
+}
