daemon: no look at the accepted connections right after a late one

A look that is late is followed by the next one at once. With GOMAXPROCS=1 and 600 goroutines of callers that pipeline without a pause, such a pair was 1 ms apart, and one connection in the queue was logged as one that had waited for half a second (check_late_ms -499). Looks less than a quarter of a second after the last are left out.

--- a/cmd/siskinknot/accepts.go
+++ b/cmd/siskinknot/accepts.go
@@ -76,6 +76,9 @@
 			case <-ticker.C:
 				now := time.Now()
 				late := now.Sub(checkedAt) - acceptCheckInterval
+				if late < -acceptCheckInterval/2 {
+					continue // the last one was late
+				}
 				checkedAt = now
 				for _, i := range w.interfaces {
 					w.check(i, i.acceptor.TakeLoad(now), late)
@@ -117,7 +120,7 @@
 		return
 	}
 	w.log.Warn("connections are accepted late", "interface", i.name, "held_ms", load.LongestHold.Milliseconds(), "queued", load.Queued,
-		"accepted", load.Accepted, "errors", failed, "check_late_ms", late.Milliseconds(), "ready", w.ready())
+		"accepted", load.Accepted, "errors", failed, "check_late_ms", max(0, late).Milliseconds(), "ready", w.ready())
 }
 
 // logAccepted logs the connections that were accepted since its last call.
