tcp: do not listen while another address is in use

The kernel accepts connections for those that listen meanwhile: callers and other daemons were connected and got no answer, while the last readiness answer was that of the former process. A caller gives up such a connection after a second or a third of its time; a refused one it tries again elsewhere at once.

Listen now takes all addresses: while one is in use, none listens.

TestListenTakesNoConnectionsWhileItWaits is new with the function. Whether a daemon of the users' record waited like this is not known: it leaves the line "waiting for address".

--- a/cmd/siskinknot/mesh.go
+++ b/cmd/siskinknot/mesh.go
@@ -215,21 +215,12 @@
 
 // openListeners opens the listening sockets. It waits for an address that is in use. The
 // process ends after an error, which closes those that are open.
-func (n *node) openListeners(ctx context.Context) (l listeners, err error) {
-	for _, i := range []struct {
-		addr netip.AddrPort
-		dest *net.Listener
-	}{
-		{n.cfg.DaemonAddress, &l.peers},
-		{n.cfg.CallerAddress, &l.callers},
-		{n.cfg.ReadyAddress, &l.readiness},
-		{n.cfg.HeartbeatAddress, &l.heartbeats},
-	} {
-		if *i.dest, err = n.listen(ctx, i.addr); err != nil {
-			return listeners{}, err
-		}
+func (n *node) openListeners(ctx context.Context) (listeners, error) {
+	opened, err := n.listen(ctx, n.cfg.DaemonAddress, n.cfg.CallerAddress, n.cfg.ReadyAddress, n.cfg.HeartbeatAddress)
+	if err != nil {
+		return listeners{}, err
 	}
-	return l, nil
+	return listeners{peers: opened[0], callers: opened[1], readiness: opened[2], heartbeats: opened[3]}, nil
 }
 
 // serve starts the HTTP servers of the interfaces.
@@ -285,12 +276,12 @@
 
 // runMetrics serves metrics once their address is free: the daemon starts without them.
 func (n *node) runMetrics(server *http.Server) {
-	listener, err := n.listen(context.Background(), n.cfg.MetricsAddress)
+	opened, err := n.listen(context.Background(), n.cfg.MetricsAddress)
 	if err != nil {
 		n.log.Error("metrics are not served", "error", err)
 		return
 	}
-	n.run(server, n.acceptor(listener))
+	n.run(server, n.acceptor(opened[0]))
 }
 
 // idleTimeout returns how long a connection may be idle according to the current
@@ -372,9 +363,9 @@
 	return evacuated && drained && answered
 }
 
-// listen opens a TCP socket that listens at addr. It waits for an address that is in use.
-func (n *node) listen(ctx context.Context, addr netip.AddrPort) (net.Listener, error) {
-	return tcp.Listen(ctx, addr, func(err error) { n.log.Warn("waiting for address", "error", err) })
+// listen opens TCP sockets that listen at addrs. It waits for an address that is in use.
+func (n *node) listen(ctx context.Context, addrs ...netip.AddrPort) ([]net.Listener, error) {
+	return tcp.Listen(ctx, addrs, func(err error) { n.log.Warn("waiting for address", "error", err) })
 }
 
 // seconds converts a number of seconds to a time.Duration.
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -98,22 +98,12 @@
 
 // listen opens the listening sockets. After an error none is open.
 func (d *Daemon) listen(ctx context.Context) error {
-	waiting := func(err error) { d.log.Warn("waiting for address", "error", err) }
-	for _, l := range []struct {
-		addr netip.AddrPort
-		dest *net.Listener
-	}{
-		{d.cfg.DaemonAddress, &d.listeners.peers},
-		{d.cfg.CallerAddress, &d.listeners.callers},
-		{d.cfg.OperatorAddress, &d.listeners.operators},
-	} {
-		listener, err := tcp.Listen(ctx, l.addr, waiting)
-		if err != nil {
-			d.listeners.close()
-			return err
-		}
-		*l.dest = listener
+	opened, err := tcp.Listen(ctx, []netip.AddrPort{d.cfg.DaemonAddress, d.cfg.CallerAddress, d.cfg.OperatorAddress},
+		func(err error) { d.log.Warn("waiting for address", "error", err) })
+	if err != nil {
+		return err
 	}
+	d.listeners.peers, d.listeners.callers, d.listeners.operators = opened[0], opened[1], opened[2]
 	return nil
 }
 
--- a/io/tcp/listen_test.go
+++ b/io/tcp/listen_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"net"
 	"net/netip"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
 
@@ -60,17 +62,45 @@
 	addr := first.Addr().(*net.TCPAddr).AddrPort()
 	time.AfterFunc(300*time.Millisecond, func() { _ = first.Close() })
 	waits := 0
-	listener, err := Listen(context.Background(), addr, func(error) { waits++ })
+	listeners, err := Listen(context.Background(), []netip.AddrPort{addr}, func(error) { waits++ })
 	require.NoError(t, err)
 	require.Equal(t, 1, waits)
-	defer func() { _ = listener.Close() }()
+	defer func() { _ = listeners[0].Close() }()
 
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
-	_, err = Listen(ctx, addr, func(error) {})
+	_, err = Listen(ctx, []netip.AddrPort{addr}, func(error) {})
 	require.ErrorContains(t, err, "address already in use")
 	begin := time.Now()
-	_, err = Listen(context.Background(), netip.MustParseAddrPort("192.0.2.1:80"), func(error) {})
+	_, err = Listen(context.Background(), []netip.AddrPort{netip.MustParseAddrPort("192.0.2.1:80")}, func(error) {})
 	require.Error(t, err)
 	require.Less(t, time.Since(begin), time.Second, "an address that is not the VM's is an error at once")
 }
+
+// TestListenTakesNoConnectionsWhileItWaits guards against clients that wait for answers of a process which does not serve
+// yet: the kernel accepts connections for each listening socket.
+func TestListenTakesNoConnectionsWhileItWaits(t *testing.T) {
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	occupied, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addrs := []netip.AddrPort{free.Addr().(*net.TCPAddr).AddrPort(), occupied.Addr().(*net.TCPAddr).AddrPort()}
+	require.NoError(t, free.Close())
+	waiting, opened := make(chan struct{}), make(chan []net.Listener)
+	go func() {
+		listeners, err := Listen(context.Background(), addrs, func(error) { close(waiting) })
+		assert.NoError(t, err)
+		opened <- listeners
+	}()
+	<-waiting
+	for range 200 {
+		_, err = net.Dial("tcp", addrs[0].String())
+		require.ErrorIs(t, err, syscall.ECONNREFUSED)
+		time.Sleep(time.Millisecond)
+	}
+	require.NoError(t, occupied.Close())
+	for i, listener := range <-opened {
+		require.Equal(t, addrs[i].String(), listener.Addr().String())
+		require.NoError(t, listener.Close())
+	}
+}
--- a/io/tcp/tcp.go
+++ b/io/tcp/tcp.go
@@ -1,5 +1,5 @@
 // Package tcp provides a dialer whose connections fail when the peer becomes
-// unreachable, Listen, which waits for an address that is in use, RetryAccept, with
+// unreachable, Listen, which waits for addresses that are in use, RetryAccept, with
 // which a listener outlives failures, and IdleConnCloser, which closes the
 // connections of a server that have been idle for too long.
 //
@@ -17,7 +17,7 @@
 //	dialer := tcp.Dialer(netip.Addr{}, 500*time.Millisecond)
 //	conn, err := dialer.DialContext(ctx, "tcp", address)
 //
-//	listener, err := tcp.Listen(ctx, addr, func(err error) { log.Warn("waiting for address", "error", err) })
+//	listeners, err := tcp.Listen(ctx, addrs, func(err error) { log.Warn("waiting for address", "error", err) })
 //
 //	idle := tcp.NewIdleConnCloser(func() time.Duration { return table.Limits.IdleTimeout })
 //	server := &http.Server{ConnState: idle.ConnState}
--- a/standin/meshfleet/meshfleet.go
+++ b/standin/meshfleet/meshfleet.go
@@ -355,6 +355,16 @@
 	return netip.AddrPortFrom(vm.ip, vm.fleet.ports.caller)
 }
 
+// HeartbeatAddress returns the address at which the VM's daemon takes heartbeats of its server.
+func (vm *VM) HeartbeatAddress() netip.AddrPort {
+	return netip.AddrPortFrom(vm.ip, vm.fleet.ports.heartbeat)
+}
+
+// ReadyAddress returns the address at which the VM's daemon answers readiness checks.
+func (vm *VM) ReadyAddress() netip.AddrPort {
+	return netip.AddrPortFrom(vm.ip, vm.fleet.ports.ready)
+}
+
 // MetricsAddress returns the address at which the VM's daemon serves its metrics.
 func (vm *VM) MetricsAddress() netip.AddrPort {
 	return netip.AddrPortFrom(vm.ip, vm.fleet.ports.metrics)
@@ -395,7 +405,7 @@
 
 // Ready reports whether the VM's daemon says that it accepts requests from callers.
 func (vm *VM) Ready(ctx context.Context) bool {
-	url := fmt.Sprintf("http://%s/siskinknot/ready", netip.AddrPortFrom(vm.ip, vm.fleet.ports.ready))
+	url := fmt.Sprintf("http://%s/siskinknot/ready", vm.ReadyAddress())
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
 	if err != nil {
 		return false
