tcp: limit the connections of callers

A daemon whose callers have as many connections as the process has file descriptors accepted no new one until others had been idle for the limit of the configuration. It answered that it was ready on a connection that was open, and its log had "failed to accept connection" alone. It could not connect to its target, to other daemons and to the store either, nor accept heartbeats.

Callers may now take three quarters of the descriptors. A new connection beyond that evicts connections without a request, those first that have been idle for longest; if there are none, it is closed before anything is read, so that the caller may try again.

Failed before: TestCallersBeyondDescriptors (300 descriptors, 400 idle connections): 20 of 30 new connections had no answer within 0.5 s while every readiness check was answered; 0 now. TestIdleConnsMakeRoom and TestConnBeyondLimitIsRejected are new with the code.

--- a/cmd/siskinknot/accepts.go
+++ b/cmd/siskinknot/accepts.go
@@ -55,15 +55,18 @@
 // is ready while its callers' connections are not accepted has a line in the log that tells
 // whether the goroutine that accepts was held up, or connections waited although it was not.
 type acceptWatch struct {
-	log        hclog.Logger
-	ready      func() bool
-	interfaces []*watchedInterface
-	tomb       tomb.Tomb
+	log   hclog.Logger
+	ready func() bool
+	// callers has the connections of callers, and callersLogged their load at the last log line.
+	callers       *tcp.IdleConnCloser
+	callersLogged tcp.ConnLoad
+	interfaces    []*watchedInterface
+	tomb          tomb.Tomb
 }
 
 // watchAccepts returns an acceptWatch for the given interfaces. It runs a goroutine until Close.
-func watchAccepts(log hclog.Logger, ready func() bool, interfaces []*watchedInterface) *acceptWatch {
-	w := &acceptWatch{log: log, ready: ready, interfaces: interfaces}
+func watchAccepts(log hclog.Logger, ready func() bool, callers *tcp.IdleConnCloser, interfaces []*watchedInterface) *acceptWatch {
+	w := &acceptWatch{log: log, ready: ready, callers: callers, interfaces: interfaces}
 	w.tomb.Go(func() error {
 		ticker := time.NewTicker(acceptCheckInterval)
 		defer ticker.Stop()
@@ -131,5 +134,8 @@
 			i.name+"_held_us", i.longestHold.Microseconds(), i.name+"_queued", i.longestWait)
 		i.logged, i.longestHold, i.longestWait = i.last, 0, i.last.Queued
 	}
-	log.Info("connections accepted", "ready", w.ready())
+	load := w.callers.Load()
+	log.Info("connections accepted", "ready", w.ready(), "callers_open", load.Open, "callers_idle", load.Idle,
+		"callers_evicted", load.Evicted-w.callersLogged.Evicted, "callers_rejected", load.Rejected-w.callersLogged.Rejected)
+	w.callersLogged = load
 }
--- a/cmd/siskinknot/accepts_test.go
+++ b/cmd/siskinknot/accepts_test.go
@@ -31,7 +31,7 @@
 		t.Run(row.name, func(t *testing.T) {
 			var out bytes.Buffer
 			log := hclog.New(&hclog.LoggerOptions{Output: &out, JSONFormat: true})
-			w := watchAccepts(log, func() bool { return true }, nil)
+			w := watchAccepts(log, func() bool { return true }, nil, nil)
 			require.NoError(t, w.Close())
 			i := newWatchedInterface("callers", nil, tally.NoopScope)
 			for _, load := range row.loads {
--- a/cmd/siskinknot/mesh.go
+++ b/cmd/siskinknot/mesh.go
@@ -228,6 +228,7 @@
 	ingress := platform.IngressHandler(n.mesh, n.cfg.Service, n.cfg.PipelineDepth, n.log.Named("caller"))
 	n.callers, n.callersClosed = l.callers, make(chan struct{})
 	n.callerConns, n.otherConns = tcp.NewIdleConnCloser(n.idleTimeout), tcp.NewIdleConnCloser(n.idleTimeout)
+	n.callerConns.LimitConns(tcp.MaxCallerConns())
 	callers := n.newServer(ingress, n.callerConns)
 	callers.ConnContext = ingress.ConnContext
 	callerAcceptor, readinessAcceptor := n.acceptor(l.callers), n.acceptor(l.readiness)
@@ -236,7 +237,7 @@
 		n.run(callers, ingress.Listener(callerAcceptor))
 	}()
 	go n.run(n.newServer(platform.ReadinessHandler(n.mesh), n.otherConns), readinessAcceptor)
-	n.accepts = watchAccepts(n.log, n.mesh.Ready, []*watchedInterface{
+	n.accepts = watchAccepts(n.log, n.mesh.Ready, n.callerConns, []*watchedInterface{
 		newWatchedInterface("callers", callerAcceptor, n.telemetry.Scope),
 		newWatchedInterface("readiness", readinessAcceptor, n.telemetry.Scope),
 	})
--- a/io/tcp/idle.go
+++ b/io/tcp/idle.go
@@ -43,6 +43,8 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]*trackedConn
+	// connLimit limits the number of conns.
+	connLimit connLimit
 }
 
 // trackedConn describes an open connection.
@@ -54,6 +56,8 @@
 	openedAt, idleSince time.Time
 	// limit is the longest limit that was in force at a sweep since then.
 	limit time.Duration
+	// closing is set if the connection was evicted because of LimitConns.
+	closing bool
 }
 
 // NewIdleConnCloser returns an IdleConnCloser whose current limit is limit(); 0
@@ -85,13 +89,20 @@
 // ConnState records a change of the state of a connection. It is for the
 // ConnState field of an http.Server.
 func (c *IdleConnCloser) ConnState(conn net.Conn, state http.ConnState) {
-	c.note(time.Now(), conn, state)
+	now := time.Now()
+	c.note(now, conn, state)
+	if state == http.StateNew && !c.makeRoom(now, conn) {
+		_ = conn.Close()
+	}
 }
 
 // note is ConnState with the current time as a parameter.
 func (c *IdleConnCloser) note(now time.Time, conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if tracked := c.conns[conn]; tracked != nil && tracked.closing {
+		c.connLimit.closing--
+	}
 	switch state {
 	case http.StateNew:
 		c.conns[conn] = &trackedConn{openedAt: now}
--- a/io/tcp/tcp.go
+++ b/io/tcp/tcp.go
@@ -1,7 +1,7 @@
 // Package tcp provides a dialer whose connections fail when the peer becomes
 // unreachable, Listen, which waits for addresses that are in use, RetryAccept, with
 // which a listener outlives failures, and IdleConnCloser, which closes the
-// connections of a server that have been idle for too long.
+// connections of a server that have been idle for too long, and limits their number.
 //
 // A connection may stop delivering data without an error: a VM has lost power, or
 // a device on the path has dropped its record of the connection, while new
--- a/standin/meshfleet/meshfleet.go
+++ b/standin/meshfleet/meshfleet.go
@@ -67,6 +67,8 @@
 	// DeadlyPath is the path of the requests that crash the server that runs them; empty
 	// if there is none. A crashed server is started again after a second.
 	DeadlyPath string
+	// MaxDescriptors limits the file descriptors of each daemon; 0 for no limit.
+	MaxDescriptors int
 	// Logs receives the daemons' log lines; nil discards them.
 	Logs io.Writer
 }
@@ -320,7 +322,11 @@
 // StartDaemon starts the process of the VM's daemon, without waiting until it is
 // ready.
 func (vm *VM) StartDaemon() error {
-	cmd := exec.Command(filepath.Join(vm.fleet.opts.Bin, "siskinknot"), "mesh", "-config", vm.config)
+	args := []string{filepath.Join(vm.fleet.opts.Bin, "siskinknot"), "mesh", "-config", vm.config}
+	if n := vm.fleet.opts.MaxDescriptors; n > 0 {
+		args = append([]string{"/bin/sh", "-c", `ulimit -n "$0" && exec "$@"`, strconv.Itoa(n)}, args...)
+	}
+	cmd := exec.Command(args[0], args[1:]...)
 	cmd.Stdout, cmd.Stderr = vm.fleet.opts.Logs, vm.fleet.opts.Logs
 	if err := cmd.Start(); err != nil {
 		return err
