--- a/cmd/siskinknot/mesh.go
+++ b/cmd/siskinknot/mesh.go
@@ -166,6 +166,8 @@
 	// callerConns has the connections of callers, and otherConns those of the other
 	// interfaces. Both close connections that are idle for longer than idleTimeout.
 	callerConns, otherConns *tcp.IdleConnCloser
+	// accepts watches how the interfaces accept connections.
+	accepts *acceptWatch
 }
 
 // startNode creates the components of a daemon, connects them, and starts to serve.
@@ -213,21 +215,12 @@
 
 // openListeners opens the listening sockets. It waits for an address that is in use. The
 // process ends after an error, which closes those that are open.
-func (n *node) openListeners(ctx context.Context) (l listeners, err error) {
-	for _, i := range []struct {
-		addr netip.AddrPort
-		dest *net.Listener
-	}{
-		{n.cfg.DaemonAddress, &l.peers},
-		{n.cfg.CallerAddress, &l.callers},
-		{n.cfg.ReadyAddress, &l.readiness},
-		{n.cfg.HeartbeatAddress, &l.heartbeats},
-	} {
-		if *i.dest, err = n.listen(ctx, i.addr); err != nil {
-			return listeners{}, err
-		}
+func (n *node) openListeners(ctx context.Context) (listeners, error) {
+	opened, err := n.listen(ctx, n.cfg.DaemonAddress, n.cfg.CallerAddress, n.cfg.ReadyAddress, n.cfg.HeartbeatAddress)
+	if err != nil {
+		return listeners{}, err
 	}
-	return l, nil
+	return listeners{peers: opened[0], callers: opened[1], readiness: opened[2], heartbeats: opened[3]}, nil
 }
 
 // serve starts the HTTP servers of the interfaces.
@@ -235,15 +228,21 @@
 	ingress := platform.IngressHandler(n.mesh, n.cfg.Service, n.cfg.PipelineDepth, n.log.Named("caller"))
 	n.callers, n.callersClosed = l.callers, make(chan struct{})
 	n.callerConns, n.otherConns = tcp.NewIdleConnCloser(n.idleTimeout), tcp.NewIdleConnCloser(n.idleTimeout)
+	n.callerConns.LimitConns(tcp.MaxCallerConns())
 	callers := n.newServer(ingress, n.callerConns)
 	callers.ConnContext = ingress.ConnContext
+	callerAcceptor, readinessAcceptor := n.acceptor(l.callers), n.acceptor(l.readiness)
 	go func() {
 		defer close(n.callersClosed)
-		n.run(callers, ingress.Listener(l.callers))
+		n.run(callers, ingress.Listener(callerAcceptor))
 	}()
-	go n.run(n.newServer(platform.ReadinessHandler(n.mesh), n.otherConns), l.readiness)
+	go n.run(n.newServer(platform.ReadinessHandler(n.mesh), n.otherConns), readinessAcceptor)
+	n.accepts = watchAccepts(n.log, n.mesh.Ready, n.callerConns, []*watchedInterface{
+		newWatchedInterface("callers", callerAcceptor, n.telemetry.Scope),
+		newWatchedInterface("readiness", readinessAcceptor, n.telemetry.Scope),
+	})
 	heartbeats := platform.HeartbeatHandler(n.mesh, n.cfg.TargetAddress, n.cfg.Service, n.log.Named("target"))
-	go n.run(n.newServer(heartbeats, n.otherConns), l.heartbeats)
+	go n.run(n.newServer(heartbeats, n.otherConns), n.acceptor(l.heartbeats))
 	if n.cfg.MetricsAddress.IsValid() {
 		metrics := n.newServer(n.telemetry.Metrics, n.otherConns)
 		go n.runMetrics(metrics)
@@ -266,20 +265,24 @@
 
 // run serves the connections of listener until the server or the listener is closed.
 func (n *node) run(server *http.Server, listener net.Listener) {
-	listener = tcp.RetryAccept(listener, func(err error) { n.log.Warn("failed to accept connection", "error", err) })
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		n.log.Error("interface stopped", "address", listener.Addr(), "error", err)
 	}
 }
 
+// acceptor returns a listener for l that logs errors of accept and tries again.
+func (n *node) acceptor(l net.Listener) *tcp.Acceptor {
+	return tcp.RetryAccept(l, func(err error) { n.log.Warn("failed to accept connection", "error", err) })
+}
+
 // runMetrics serves metrics once their address is free: the daemon starts without them.
 func (n *node) runMetrics(server *http.Server) {
-	listener, err := n.listen(context.Background(), n.cfg.MetricsAddress)
+	opened, err := n.listen(context.Background(), n.cfg.MetricsAddress)
 	if err != nil {
 		n.log.Error("metrics are not served", "error", err)
 		return
 	}
-	n.run(server, listener)
+	n.run(server, n.acceptor(opened[0]))
 }
 
 // idleTimeout returns how long a connection may be idle according to the current
@@ -354,6 +357,7 @@
 		_ = server.Close()
 	}
 	_, _ = n.callerConns.Close(), n.otherConns.Close()
+	_ = n.accepts.Close()
 	_ = n.watch.Close()
 	_ = n.mesh.Close()
 	_ = n.peerServer.Close()
@@ -362,9 +366,9 @@
 	return evacuated && drained && answered && delivered
 }
 
-// listen opens a TCP socket that listens at addr. It waits for an address that is in use.
-func (n *node) listen(ctx context.Context, addr netip.AddrPort) (net.Listener, error) {
-	return tcp.Listen(ctx, addr, func(err error) { n.log.Warn("waiting for address", "error", err) })
+// listen opens TCP sockets that listen at addrs. It waits for an address that is in use.
+func (n *node) listen(ctx context.Context, addrs ...netip.AddrPort) ([]net.Listener, error) {
+	return tcp.Listen(ctx, addrs, func(err error) { n.log.Warn("waiting for address", "error", err) })
 }
 
 // seconds converts a number of seconds to a time.Duration.
--- a/io/tcp/idle.go
+++ b/io/tcp/idle.go
@@ -43,6 +43,8 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]*trackedConn
+	// connLimit limits the number of conns.
+	connLimit connLimit
 }
 
 // trackedConn describes an open connection.
@@ -54,8 +56,9 @@
 	openedAt, idleSince time.Time
 	// limit is the longest limit that was in force at a sweep since then.
 	limit time.Duration
-	// readsEnded is set once the reads of the connection were made to fail.
-	readsEnded bool
+	// readsEnded is set once the reads of the connection were made to fail, and closing if it
+	// was evicted because of LimitConns.
+	readsEnded, closing bool
 }
 
 // NewIdleConnCloser returns an IdleConnCloser whose current limit is limit(); 0
@@ -87,13 +90,20 @@
 // ConnState records a change of the state of a connection. It is for the
 // ConnState field of an http.Server.
 func (c *IdleConnCloser) ConnState(conn net.Conn, state http.ConnState) {
-	c.note(time.Now(), conn, state)
+	now := time.Now()
+	c.note(now, conn, state)
+	if state == http.StateNew && !c.makeRoom(now, conn) {
+		_ = conn.Close()
+	}
 }
 
 // note is ConnState with the current time as a parameter.
 func (c *IdleConnCloser) note(now time.Time, conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if tracked := c.conns[conn]; tracked != nil && tracked.closing {
+		c.connLimit.closing--
+	}
 	switch state {
 	case http.StateNew:
 		c.conns[conn] = &trackedConn{openedAt: now}
