--- a/cmd/siskinknot/mesh.go
+++ b/cmd/siskinknot/mesh.go
@@ -353,6 +353,12 @@
 	// The target has sent its answers; those of forwarded requests are still sent to other daemons.
 	delivered := n.peerServer.Shutdown(ctx)
 	phaseEnded("answers", delivered)
+	n.close()
+	return evacuated && drained && answered && delivered
+}
+
+// close closes all components. Requests in progress are cut off.
+func (n *node) close() {
 	for _, server := range n.servers {
 		_ = server.Close()
 	}
@@ -363,7 +369,6 @@
 	_ = n.peerServer.Close()
 	_ = n.peerPool.Close()
 	n.target.Close()
-	return evacuated && drained && answered && delivered
 }
 
 // listen opens TCP sockets that listen at addrs. It waits for an address that is in use.
