mesh: a stopping daemon does not refuse requests for keys of others

What callers saw, with: a request for a key that a stopping daemon has transferred, from an ingress daemon that has not heard of it yet, was refused as "stopping" instead of "not_owner". If the store went away meanwhile, the ingress daemon rejected it at once, though the next owner would have run it.

Cause: the limit of the stop was checked before the ownership of the key.

Evidence: TestStoppingDaemonRefusesForNextOwner; its rows for a key that is being transferred and one of another member failed before.

--- a/io/mesh/admission.go
+++ b/io/mesh/admission.go
@@ -157,17 +157,17 @@
 		return 0, false, refusal
 	}
 	divided = m.divided()
-	if refusal := m.stopRefusal(now, head, divided); refusal != nil {
+	if refusal := m.leavingRefusal(now, divided); refusal != nil {
 		return 0, divided, refusal
 	}
-	if refusal := m.leavingRefusal(now, divided); refusal != nil || !divided {
-		return 0, divided, refusal
+	if !divided {
+		return 0, false, m.stopRefusal(now, head, 0, false)
 	}
 	n, err := strconv.ParseUint(head.Key, 10, 16)
 	if err != nil {
 		return 0, true, outcome.NotRun{Reason: outcome.Malformed}
 	}
-	return uint16(n), true, nil
+	return uint16(n), true, m.stopRefusal(now, head, uint16(n), true)
 }
 
 // leavingRefusal returns why a leaving target accepts no request, or nil. An
@@ -298,7 +298,7 @@
 	if refusal := m.zoneRefusal(now); refusal != nil {
 		return refusal
 	}
-	if refusal := m.stopRefusal(now, head, divided); refusal != nil {
+	if refusal := m.stopRefusal(now, head, key, divided); refusal != nil {
 		return refusal
 	}
 	refusal := m.leavingRefusal(now, divided)
--- a/io/mesh/move.go
+++ b/io/mesh/move.go
@@ -386,11 +386,15 @@
 }
 
 // stopRefusal returns why a request that may still run when this process ends is not sent to
-// the target, or nil. The caller holds the mutex.
-func (m *Mesh) stopRefusal(now time.Time, head *request.Head, divided bool) outcome.Result {
+// the target, or nil; nil also if this member does not own the key, which ownershipRefusal
+// tells. The caller holds the mutex.
+func (m *Mesh) stopRefusal(now time.Time, head *request.Head, key uint16, divided bool) outcome.Result {
 	if m.stopsAt.IsZero() || !head.Deadline.After(m.stopsAt) {
 		return nil
 	}
+	if h := m.holdingOf(key); divided && (h == nil || h.closing) {
+		return nil
+	}
 	refusal := outcome.NotRun{Reason: outcome.Stopping}
 	if divided && (!m.mayTransferAll(now) || len(m.receiverCandidates(now, m.cfg.Service, m.cfg.Self)) == 0) {
 		refusal.RetryAfter = max(m.stopsAt.Sub(now), lossRetryAfter) // no other member gets the key before
@@ -399,8 +403,9 @@
 }
 
 // Drain refuses further requests for this daemon's target and waits until the
-// requests in progress have finished and their answers are forwarded, and the target has released the keys that others
-// got: nobody tells it to once this process has ended. It reports false if ctx ends first.
+// requests in progress have finished and their answers are forwarded, and the target has
+// released the keys that others got: nobody tells it to once this process has ended. It
+// reports false if ctx ends first.
 func (m *Mesh) Drain(ctx context.Context) bool {
 	m.mu.Lock()
 	m.draining = true
--- a/io/mesh/stop_test.go
+++ b/io/mesh/stop_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -227,6 +228,33 @@
 	return c
 }
 
+// TestStoppingDaemonRefusesForNextOwner guards against requests that are rejected since a daemon that stops takes itself
+// for the owner of keys that it has transferred, or is transferring.
+func TestStoppingDaemonRefusesForNextOwner(t *testing.T) {
+	now := boottime.Now()
+	for _, row := range []struct {
+		name string
+		key  uint16
+		want outcome.Reason
+	}{
+		{"own key", 7, outcome.Stopping},
+		{"key is being transferred", 150, outcome.NotOwner},
+		{"key of another member", 250, outcome.NotOwner},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			m := newDividedMesh(t, answeringTarget{}, directory.Assignment{Last: 99, Fence: 1}, directory.Assignment{First: 100, Last: 199, Fence: 1})
+			m.leases.RecordStoreRead(now, 0)
+			m.target.Ready = true
+			m.holdingOf(150).closing = true
+			m.StopAt(now, now.Add(time.Second))
+			head := &request.Head{Service: "s", Key: strconv.Itoa(int(row.key)), Objective: now.Add(time.Minute), Deadline: now.Add(time.Minute)}
+			body := &forward.Body{Inline: []byte{}, IsInline: true, Abort: func() {}}
+			res := m.runRequest(context.Background(), head, &localExchange{Sink: nullSink{}, body: body})
+			require.Equal(t, row.want, reasonOf(res))
+		})
+	}
+}
+
 // TestCallAwaitsNextOwnerOfStoppingDaemon guards against calls that are rejected while their key is about to get another
 // owner, so that the work of their parents is lost: the store is away for a moment when the daemon is stopped. Requests of
 // callers may be told to return instead.
