tcp: one test of requests that are read during a search

The tests of plain connections and of those of package pipeline shared most of their lines. They are the rows of one test now, each with both searches. With the reset of the deadline taken out, the six rows with a body fail, as before.

--- a/io/tcp/idle_test.go
+++ b/io/tcp/idle_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -262,141 +263,120 @@
 // TestRequestReadDuringSearch guards against requests that fail because the closer searches for unused connections after
 // the server has read their heads and before it reports their connections as active.
 func TestRequestReadDuringSearch(t *testing.T) {
-	for _, row := range []struct {
+	searches := []struct {
 		name   string
-		body   string
 		search func(*IdleConnCloser)
 	}{
-		{"drain", "", func(c *IdleConnCloser) { c.closeUnused(time.Now()) }},
-		{"drain, body follows", "body", func(c *IdleConnCloser) { c.closeUnused(time.Now()) }},
-		{"idle for too long", "", func(c *IdleConnCloser) { c.sweep(time.Now().Add(time.Hour)) }},
-		{"idle for too long, body follows", "body", func(c *IdleConnCloser) { c.sweep(time.Now().Add(time.Hour)) }},
-	} {
-		t.Run(row.name, func(t *testing.T) {
-			c := NewIdleConnCloser(func() time.Duration { return time.Minute })
-			defer func() { require.NoError(t, c.Close()) }()
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			requests, active := 0, make(chan struct{}, 1)
-			server := &http.Server{
-				ReadHeaderTimeout: time.Minute,
-				ConnState: func(conn net.Conn, state http.ConnState) {
-					if requests == 1 && state == http.StateActive {
-						row.search(c)
-					}
-					c.ConnState(conn, state)
-					if state == http.StateActive {
-						requests++
-						active <- struct{}{}
-					}
-				},
-				Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-					body, _ := io.ReadAll(r.Body)
-					select {
-					case <-r.Context().Done():
-						w.WriteHeader(http.StatusBadGateway)
-					case <-time.After(50 * time.Millisecond):
-						_, _ = w.Write(body)
-					}
-				}),
-			}
-			go func() { _ = server.Serve(listener) }()
-			defer func() { _ = server.Close() }()
-			conn, err := net.Dial("tcp", listener.Addr().String())
-			require.NoError(t, err)
-			defer func() { _ = conn.Close() }()
-			require.NoError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
-			in := bufio.NewReader(conn)
-			for range 3 {
-				_, err := fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", len(row.body))
-				require.NoError(t, err)
-				<-active
-				_, err = io.WriteString(conn, row.body)
-				require.NoError(t, err)
-				resp, err := http.ReadResponse(in, nil)
-				require.NoError(t, err)
-				body, err := io.ReadAll(resp.Body)
-				require.NoError(t, err)
-				require.NoError(t, resp.Body.Close())
-				require.Equal(t, http.StatusOK, resp.StatusCode)
-				require.Equal(t, row.body, string(body))
-			}
-		})
+		{"drain", func(c *IdleConnCloser) { c.closeUnused(time.Now().Add(time.Hour)) }},
+		{"idle for too long", func(c *IdleConnCloser) { c.sweep(time.Now().Add(time.Hour)) }},
 	}
-}
-
-// TestPipelinedRequestReadDuringSearch is TestRequestReadDuringSearch on the connections of package pipeline, before and
-// after a goroutine reads ahead. A search runs before and after each change of state.
-func TestPipelinedRequestReadDuringSearch(t *testing.T) {
 	for _, row := range []struct {
-		name      string
-		pipelined bool
-		search    func(*IdleConnCloser)
+		name string
+		// pipelines is set if the connections are those of package pipeline, and pipelined if
+		// the first requests are sent at once, so that a goroutine reads ahead.
+		pipelines, pipelined bool
+		body                 string
 	}{
-		{"drain", false, func(c *IdleConnCloser) { c.closeUnused(time.Now().Add(time.Hour)) }},
-		{"idle", false, func(c *IdleConnCloser) { c.sweep(time.Now().Add(time.Hour)) }},
-		{"drain, reading ahead", true, func(c *IdleConnCloser) { c.closeUnused(time.Now().Add(time.Hour)) }},
-		{"idle, reading ahead", true, func(c *IdleConnCloser) { c.sweep(time.Now().Add(time.Hour)) }},
+		{"no body", false, false, ""},
+		{"body follows", false, false, "body"},
+		{"package pipeline, body follows", true, false, "body"},
+		{"package pipeline, reading ahead, body follows", true, true, "body"},
 	} {
-		t.Run(row.name, func(t *testing.T) {
-			c := NewIdleConnCloser(func() time.Duration { return time.Minute })
-			defer func() { require.NoError(t, c.Close()) }()
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			p := pipeline.New(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				body, _ := io.ReadAll(r.Body)
-				select {
-				case <-r.Context().Done():
-					w.WriteHeader(http.StatusBadGateway)
-				case <-time.After(30 * time.Millisecond):
-					_, _ = w.Write(body)
-				}
-			}), pipeline.Config{Depth: 8, MayStart: func(r *http.Request) bool { return r.Method == http.MethodGet }})
-			active := make(chan struct{}, 16)
-			server := &http.Server{
-				Handler: p, ConnContext: p.ConnContext, ReadHeaderTimeout: time.Minute,
-				ConnState: func(conn net.Conn, state http.ConnState) {
-					if state == http.StateActive {
-						row.search(c)
-					}
-					c.ConnState(conn, state)
-					if state == http.StateActive {
-						active <- struct{}{}
+		for _, s := range searches {
+			t.Run(s.name+", "+row.name, func(t *testing.T) {
+				client := newSearchedClient(t, row.pipelines, s.search)
+				if row.pipelined {
+					client.write(strings.Repeat("GET / HTTP/1.1\r\nHost: h\r\n\r\n", 3))
+					for range 3 {
+						<-client.active
+						client.read("")
 					}
-				},
-			}
-			go func() { _ = server.Serve(p.Listener(listener)) }()
-			defer func() { _ = server.Close() }()
-			conn, err := net.Dial("tcp", listener.Addr().String())
-			require.NoError(t, err)
-			defer func() { _ = conn.Close() }()
-			require.NoError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
-			in := bufio.NewReader(conn)
-			read := func(want string) {
-				resp, err := http.ReadResponse(in, nil)
-				require.NoError(t, err)
-				body, err := io.ReadAll(resp.Body)
-				require.NoError(t, err)
-				require.NoError(t, resp.Body.Close())
-				require.Equal(t, http.StatusOK, resp.StatusCode)
-				require.Equal(t, want, string(body))
-			}
-			if row.pipelined {
-				_, err := io.WriteString(conn, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\nGET /3 HTTP/1.1\r\nHost: h\r\n\r\n")
-				require.NoError(t, err)
+				}
 				for range 3 {
-					<-active
-					read("")
+					client.write(fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", len(row.body)))
+					<-client.active
+					client.write(row.body)
+					client.read(row.body)
 				}
+			})
+		}
+	}
+}
+
+// searchedClient has a connection to a server whose closer searches for unused connections each time before a connection
+// is reported as active. The server answers with the body of the request.
+type searchedClient struct {
+	t    *testing.T
+	conn net.Conn
+	in   *bufio.Reader
+	// active receives a value each time a connection was reported as active.
+	active chan struct{}
+}
+
+// newSearchedClient returns a searchedClient that is connected. The connections are those of package pipeline if
+// pipelines is set.
+func newSearchedClient(t *testing.T, pipelines bool, search func(*IdleConnCloser)) *searchedClient {
+	t.Helper()
+	c := NewIdleConnCloser(func() time.Duration { return time.Minute })
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := listener.Addr().String()
+	client := &searchedClient{t: t, active: make(chan struct{}, 16)}
+	server := &http.Server{
+		Handler:           http.HandlerFunc(echoSlowly),
+		ReadHeaderTimeout: time.Minute,
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			if state == http.StateActive {
+				search(c)
 			}
-			for range 3 {
-				_, err := fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n")
-				require.NoError(t, err)
-				<-active
-				_, err = io.WriteString(conn, "body")
-				require.NoError(t, err)
-				read("body")
+			c.ConnState(conn, state)
+			if state == http.StateActive {
+				client.active <- struct{}{}
 			}
-		})
+		},
+	}
+	if pipelines {
+		p := pipeline.New(server.Handler, pipeline.Config{Depth: 8, MayStart: func(r *http.Request) bool { return r.Method == http.MethodGet }})
+		server.Handler, server.ConnContext, listener = p, p.ConnContext, p.Listener(listener)
+	}
+	go func() { _ = server.Serve(listener) }()
+	client.conn, err = net.Dial("tcp", addr)
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		_, _ = client.conn.Close(), server.Close()
+		require.NoError(t, c.Close())
+	})
+	require.NoError(t, client.conn.SetDeadline(time.Now().Add(10*time.Second)))
+	client.in = bufio.NewReader(client.conn)
+	return client
+}
+
+// echoSlowly answers a request with its body after a moment, and with status 502 if it is cancelled before.
+func echoSlowly(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	select {
+	case <-r.Context().Done():
+		w.WriteHeader(http.StatusBadGateway)
+	case <-time.After(30 * time.Millisecond):
+		_, _ = w.Write(body)
 	}
 }
+
+// write sends data to the server.
+func (c *searchedClient) write(data string) {
+	c.t.Helper()
+	_, err := io.WriteString(c.conn, data)
+	require.NoError(c.t, err)
+}
+
+// read reads a response, which must be successful and have the given body.
+func (c *searchedClient) read(want string) {
+	c.t.Helper()
+	resp, err := http.ReadResponse(c.in, nil)
+	require.NoError(c.t, err)
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(c.t, err)
+	require.NoError(c.t, resp.Body.Close())
+	require.Equal(c.t, http.StatusOK, resp.StatusCode)
+	require.Equal(c.t, want, string(body))
+}
