--- a/test/mesh/accept_test.go
+++ b/test/mesh/accept_test.go
@@ -18,6 +18,7 @@
 // TestCallersWhileAddressIsInUse guards against a daemon that waits at its start for one address and leaves the connections
 // of callers at another without an answer meanwhile.
 func TestCallersWhileAddressIsInUse(t *testing.T) {
+	t.Parallel()
 	const occupied = 2 * time.Second
 	f := start(t, 2, 1)
 	vm := f.VMs[1]
@@ -48,6 +49,7 @@
 // TestCallersBeyondDescriptors guards against a daemon that answers that it is ready and takes no new connection, and has
 // none to its own target: callers keep more idle connections than the process has file descriptors.
 func TestCallersBeyondDescriptors(t *testing.T) {
+	t.Parallel()
 	const (
 		descriptors, idle, probes = 300, 400, 30
 		maxWait                   = 500 * time.Millisecond
--- a/test/mesh/stop_test.go
+++ b/test/mesh/stop_test.go
@@ -56,6 +56,7 @@
 // TestForwardedRequestOutlivesStoppingOwner guards against requests that a stopping daemon takes from other daemons and
 // cuts off at its server when it ends: it cannot transfer its keys, since the store is down.
 func TestForwardedRequestOutlivesStoppingOwner(t *testing.T) {
+	t.Parallel()
 	const (
 		// outageBefore is how long before the signal the store goes down, so that the daemon knows it.
 		outageBefore = 3 * time.Second
@@ -71,6 +72,7 @@
 		{"shorter than the owner runs", 0, time.Second, true},
 	} {
 		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
 			f := startWithOptions(t, meshfleet.Options{Registry: 3, Archive: 2, MeanServiceTime: 10 * time.Millisecond, RouteTimeout: row.timeout})
 			if !row.served {
 				f.lengthenLeases()
@@ -139,6 +141,7 @@
 // TestKeysMoveWhileCallersAreDrained guards against keys that stay with a daemon until it ends, since it does not
 // try to transfer them while a request of a caller is running.
 func TestKeysMoveWhileCallersAreDrained(t *testing.T) {
+	t.Parallel()
 	const (
 		outageBefore = 3 * time.Second
 		// The times below count from the signal. The daemon closes its listener after 3 s and ends after 6 s.
@@ -175,6 +178,7 @@
 // TestStopDuringShortOutage guards against requests that are refused by a stopping daemon that could long have transferred
 // its keys: the store rejects calls for a moment around the signal, and the daemon does not ask it again for seconds.
 func TestStopDuringShortOutage(t *testing.T) {
+	t.Parallel()
 	const (
 		outage  = 300 * time.Millisecond
 		wait    = 600 * time.Millisecond // after the outage, for the transfer
