Revert "peer: requests on streams of ended sessions are not run"

Whether that commit is the cause is not shown; it is the one that makes more of such requests be sent again, and the incident does not need it.

--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -104,8 +104,8 @@
 
 // Send forwards a request to the daemon at addr and passes the answer to sink.
 // The result is the one that the End of the answer gives. It is NotRun if no
-// stream to the daemon could be opened or its session ended before all was sent,
-// and Unknown if the stream or sink failed, or ctx ended, before the End arrived.
+// stream to the daemon could be opened, and Unknown if the stream or sink failed,
+// or ctx ended, before the End arrived.
 func Send(ctx context.Context, pool *peer.Pool, addr netip.AddrPort, head *request.Head, body *Body, sink Sink) outcome.Result {
 	return SendWhileOwned(ctx, ctx, pool, addr, head, body, sink)
 }
@@ -185,9 +185,6 @@
 // whether no more messages of this call can arrive on it or be sent on it.
 func exchange(ctx context.Context, now time.Time, stream *peer.Stream, head *request.Head, body *Body, sink Sink, loss *lossWatch) (outcome.Result, bool) {
 	if err := stream.Write(&peerpb.Call{Kind: &peerpb.Call_Forward{Forward: forwardMessage(ctx, now, head, body)}}); err != nil {
-		if errors.Is(err, peer.ErrNotSent) {
-			return outcome.NotRun{Reason: outcome.Unreachable}, false
-		}
 		return outcome.Unknown{Reason: outcome.ConnectionCut}, false
 	}
 	var sent chan bool
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -28,7 +28,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -137,20 +136,10 @@
 	return &Stream{raw: raw, in: bufio.NewReaderSize(&streamReader{raw, conn}, 4<<10)}
 }
 
-// ErrNotSent is the error of Write if the stream had ended before all of the message was
-// sent. The other side has not received the message, and will not.
-var ErrNotSent = eris.New("stream ended before the message was sent")
-
 // Write sends msg. It returns an error if the stream is closed or its deadline
-// has passed. After an error other than ErrNotSent, the other side may receive msg.
+// has passed.
 func (s *Stream) Write(msg proto.Message) error {
-	if s.session != nil && s.session.mux.IsClosed() {
-		return ErrNotSent
-	}
-	switch _, err := protodelim.MarshalTo(s.raw, msg); {
-	case errors.Is(err, yamux.ErrStreamClosed):
-		return ErrNotSent
-	case err != nil:
+	if _, err := protodelim.MarshalTo(s.raw, msg); err != nil {
 		return eris.Wrap(err, "write message")
 	}
 	return nil
--- a/io/peer/pool.go
+++ b/io/peer/pool.go
@@ -52,11 +52,8 @@
 	idle []*Stream
 }
 
-// takeStream returns an idle stream, or a new one. It returns an error if the session has ended.
+// takeStream returns an idle stream, or a new one.
 func (s *session) takeStream() (*Stream, error) {
-	if s.mux.IsClosed() {
-		return nil, yamux.ErrSessionShutdown
-	}
 	s.mu.Lock()
 	if n := len(s.idle); n > 0 {
 		stream := s.idle[n-1]
