--- a/cmd/siskinknot/accepts.go
+++ b/cmd/siskinknot/accepts.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// acceptCheckInterval is the time between two looks at the interfaces: less than callers
+	// acceptCheckInterval is the time between two checks of the interfaces: less than callers
 	// wait for a connection.
 	acceptCheckInterval = 500 * time.Millisecond
 	// acceptLogInterval is the time between two log lines on the accepted connections.
