mesh: grants and releases have a budget of connections

Cause: an owner sends a grant for each range whose grant is due, all at once and each on a connection of its own. A member that owns more ranges than its target accepts connections uses up all of them after a start, and keeps them for the renewals. Its requests are reset. max_connections was decoded and not used.

Change: core/connbudget divides max_connections into connections for requests, grants and releases. Grants that exceed theirs wait, in the order of their last call, and releases wait for one another. Idle connections of the client for commands are limited as well, and the slots that requests use.

--- a/io/mesh/delivery.go
+++ b/io/mesh/delivery.go
@@ -235,9 +235,9 @@
 		released.Fence = m.dir.NextFence()
 	}
 	m.mu.Unlock()
-	handover, err := m.targetClient.Release(ctx, released)
+	handover, err := m.callRelease(ctx, released)
 	if err != nil && ctx.Err() == nil {
-		handover, err = m.targetClient.Release(ctx, released)
+		handover, err = m.callRelease(ctx, released)
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -251,6 +251,15 @@
 	return handover, m.waitUntil(func() time.Time { return h.unansweredUntil })
 }
 
+// callRelease releases a at the target once the calls in progress allow it.
+func (m *Mesh) callRelease(ctx context.Context, a directory.Assignment) (handover string, err error) {
+	if err := m.releases.begin(ctx); err != nil {
+		return "", err
+	}
+	defer m.releases.end()
+	return m.targetClient.Release(ctx, a)
+}
+
 // nextGrantIn returns how long it takes at now until the target gets its next grants,
 // as far as that is known.
 func (m *Mesh) nextGrantIn(now time.Time) time.Duration {
--- a/io/mesh/disown.go
+++ b/io/mesh/disown.go
@@ -178,7 +178,7 @@
 			defer func() { <-free }()
 			ctx, cancel := m.withTimeout(grantTimeout)
 			defer cancel()
-			_, err := m.targetClient.Release(ctx, a)
+			_, err := m.callRelease(ctx, a)
 			unanswered[i] = err != nil
 		})
 	}
--- a/io/mesh/grants.go
+++ b/io/mesh/grants.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"siskinknot/core/connbudget"
 	"siskinknot/core/directory"
 	"siskinknot/core/grantsync"
 	"siskinknot/core/tenure"
@@ -48,6 +49,8 @@
 	grantInFlight   bool
 	unanswered      bool
 	unansweredUntil time.Time
+	// grantTriedAt is when the last grant call began.
+	grantTriedAt time.Time
 	// closing is set once the keys are being transferred to another owner.
 	// closeRequested is set as well; if the target gets its grants in answers to
 	// heartbeats, closing follows with the next answer, at closedAt. unlisted counts
@@ -206,7 +209,8 @@
 	}
 }
 
-// startDueGrants starts the grant calls that are due.
+// startDueGrants starts the grant calls that are due, as far as the connections for grants
+// suffice. sendGrant calls it again when a call has ended.
 func (m *Mesh) startDueGrants(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -221,7 +225,20 @@
 	if hold < minGrant {
 		return
 	}
+	due := m.dueGrants(now)
+	for _, h := range due[:min(len(due), max(0, m.connBudget().Grants-m.grantCalls))] {
+		h.grantInFlight, h.grantTriedAt = true, now
+		m.grantCalls++
+		go m.sendGrant(h.Assignment)
+	}
+}
+
+// dueGrants returns the holdings whose grants are due, those first that have waited longest
+// since their last call: a target that leaves some grants unanswered gets the others all the
+// same. The caller holds the mutex.
+func (m *Mesh) dueGrants(now time.Time) []*holding {
 	mayGrantNew := m.mayGrantNew(now)
+	var due []*holding
 	for _, h := range m.holdings {
 		if h.grantInFlight || h.closing || !h.grantIsDue(now) || !h.mayBeGranted(now, m.dir, mayGrantNew) {
 			continue
@@ -229,9 +246,20 @@
 		if m.disowning.covers(h) {
 			continue // the target would drop the keys again
 		}
-		h.grantInFlight = true
-		go m.sendGrant(h.Assignment)
+		due = append(due, h)
 	}
+	slices.SortStableFunc(due, func(a, b *holding) int { return a.grantTriedAt.Compare(b.grantTriedAt) })
+	return due
+}
+
+// connBudget returns how many connections to the target each use may have. The caller holds
+// the mutex.
+func (m *Mesh) connBudget() connbudget.Budget {
+	if m.table == nil {
+		return connbudget.Divide(0)
+	}
+	svc, _ := m.table.Service(m.cfg.Service)
+	return connbudget.Divide(svc.MaxConnections)
 }
 
 // logLease logs when this member's lease stops to cover a grant, and when it does so again.
@@ -349,7 +377,11 @@
 		hold = m.holdForGrant(sentAt, &a, process)
 		return hold
 	})
+	m.mu.Lock()
+	m.grantCalls--
+	m.mu.Unlock()
 	m.recordGrantResult(&a, sentAt, hold, res)
+	m.startDueGrants(boottime.Now())
 	m.logGrantCall(&a, sentAt, hold, res, timing)
 	switch res {
 	case GrantTargetDown:
--- a/io/mesh/grants_test.go
+++ b/io/mesh/grants_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
+	"siskinknot/core/connbudget"
 	"siskinknot/core/directory"
 	"siskinknot/core/evacuation"
 	"siskinknot/core/placement"
@@ -50,6 +51,7 @@
 
 		evacuation:  evacuation.NewState(time.Time{}),
 		fenceRaises: map[uint16]backoff{},
+		releases:    newCallLimiter(connbudget.MaxReleases),
 		running:     map[*run]struct{}{},
 		attempts:    map[*attempt]struct{}{},
 		suspects:    quarantine.NewList(),
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -70,6 +70,7 @@
 	"gopkg.in/tomb.v2"
 
 	"siskinknot/core/balance"
+	"siskinknot/core/connbudget"
 	"siskinknot/core/decay"
 	"siskinknot/core/directory"
 	"siskinknot/core/evacuation"
@@ -301,6 +302,10 @@
 	// syncedVersion is the version of the directory that holdings follows.
 	syncedVersion uint64
 	disowning     disowning
+	// grantCalls is the number of grant calls in progress, and releases limits the release
+	// calls.
+	grantCalls int
+	releases   *callLimiter
 	// leaseCovers is set while this member's lease covers a grant, for the log.
 	leaseCovers bool
 	// fenceRaises has, by first key, when a fence was last raised whose keys the target
@@ -389,6 +394,7 @@
 		storeOK:            true,
 		delivery:           callDelivery{},
 		fenceRaises:        map[uint16]backoff{},
+		releases:           newCallLimiter(connbudget.MaxReleases),
 		running:            map[*run]struct{}{},
 		attempts:           map[*attempt]struct{}{},
 		suspects:           quarantine.NewList(),
@@ -444,6 +450,10 @@
 	}
 	svc, _ := table.Service(m.cfg.Service)
 	m.rate.configure(boottime.Now(), svc)
+	m.releases.setLimit(m.connBudget().Releases)
+	if m.target.Instance != "" {
+		m.scheduler.SetSlots(boottime.Now(), m.usableSlots(m.target.Slots))
+	}
 	m.notify()
 }
 
@@ -454,6 +464,15 @@
 	return m.table
 }
 
+// usableSlots returns how many of the target's slots this daemon may use at a time: a request
+// in a slot has a connection of its own. The caller holds the mutex.
+func (m *Mesh) usableSlots(slots int) int {
+	if limit := m.connBudget().Requests; limit > 0 {
+		return min(slots, limit)
+	}
+	return slots
+}
+
 // retryBurst returns this daemon's share of the retry burst of the fleet. The
 // caller holds the mutex.
 func (m *Mesh) retryBurst() float64 {
@@ -519,7 +538,7 @@
 	t.heardAt, t.down, t.replaced, t.refusingSince = now, false, false, time.Time{}
 	t.coldUntil = now.Add(state.ColdFor)
 	m.rate.observeHeartbeat(now, &state, restarted, returned)
-	m.scheduler.SetSlots(now, state.Slots)
+	m.scheduler.SetSlots(now, m.usableSlots(state.Slots))
 	if _, byHeartbeat := m.delivery.(*heartbeatDelivery); byHeartbeat && (!t.leavingSince.IsZero() || m.zoneEvacuated()) && !m.leaving {
 		m.evacuate() // so that this answer already releases the keys
 	}
--- a/io/targetconn/targetconn.go
+++ b/io/targetconn/targetconn.go
@@ -79,6 +79,9 @@
 	Address netip.AddrPort
 	// RequestIDHeader is the response header that carries the ID of the request.
 	RequestIDHeader string
+	// MaxIdle is the maximum number of idle connections that are kept, or 0 if it is not
+	// limited.
+	MaxIdle int
 }
 
 // Request is a request to the target.
@@ -346,7 +349,7 @@
 	cn.idleSince = now
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed {
+	if c.closed || (c.cfg.MaxIdle > 0 && len(c.idle) >= c.cfg.MaxIdle) {
 		_ = cn.Close()
 		return
 	}
