mesh: neighbouring ranges of one owner are merged

The number of ranges is the other half of the cause: 613 for eight owners in the users' record, each of which costs a grant every 0.45 s, an entry that all members read at the start, and a share of the connections to the target.

Cause: a member that leaves splits its keys into up to 24 parts, a takeover splits each wide range into up to 12, and moves split ranges as well. Nothing joins them again.

Change: an owner with more than eight ranges merges neighbouring ones that its target holds, in one change, with the next fence. The target goes on holding them by the former grants until the next one, so that no request waits. A target that has restarted gets its keys in as few ranges as possible. Leaving and lost members give keys preferably to the owners of neighbouring ones (placement.Distribution), and a takeover splits no more ranges than a leaving member does. Keys are not released while a merge is being committed.

The rapid model of fences in core/directory merges as well.

--- a/core/connbudget/connbudget.go
+++ b/core/connbudget/connbudget.go
@@ -22,11 +22,14 @@
 	Grants, Releases int
 }
 
+// Bounds of the calls in progress at a target that accepts many connections. More calls finish
+// no earlier on a VM with a fraction of a core.
 const (
-	// MaxGrants and MaxReleases bound the calls in progress at a target that accepts
-	// many connections. More calls finish no earlier on a VM with a fraction of a core.
 	MaxGrants   = 24
 	MaxReleases = 16
+)
+
+const (
 	// grantDivisor and releaseDivisor are the inverse shares of the grants and the
 	// releases.
 	grantDivisor   = 4
--- a/core/directory/fence_test.go
+++ b/core/directory/fence_test.go
@@ -87,7 +87,7 @@
 // change makes a random change of the directory.
 func (m *fenceModel) change(t *rapid.T) {
 	var entries []Entry
-	switch rapid.SampledFrom([]string{"distribute", "move", "take over", "join", "raise", "remove", "start era"}).Draw(t, "change") {
+	switch rapid.SampledFrom([]string{"distribute", "move", "take over", "join", "merge", "raise", "remove", "start era"}).Draw(t, "change") {
 	case "distribute":
 		for _, a := range m.dir.Unassigned("s") {
 			owners, weights := m.owners(t)
@@ -104,6 +104,10 @@
 		}
 	case "join":
 		entries = m.renewed(m.dir.OwnedBy(owner(rapid.IntRange(0, 3).Draw(t, "joining"))))
+	case "merge":
+		for _, run := range m.dir.Adjacent(owner(rapid.IntRange(0, 3).Draw(t, "merging")), "s", func(*Assignment) bool { return rapid.Bool().Draw(t, "held") }) {
+			entries = append(entries, m.dir.Merge(run)...)
+		}
 	case "raise":
 		if a := m.anyRange(t); a != nil {
 			entries = m.renewed([]*Assignment{a})
--- a/io/mesh/failover.go
+++ b/io/mesh/failover.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -239,16 +240,29 @@
 	if member == nil || !m.leases.MayTakeOver(now, dir, addr) || !m.leases.EraSettled(now, dir) {
 		return nil
 	}
-	receivers := placement.Receivers(m.receiverCandidates(now, member.Service, addr))
-	if len(receivers) == 0 {
+	candidates := m.receiverCandidates(now, member.Service, addr)
+	if len(candidates) == 0 {
 		return []directory.Entry{member.DeleteEntry()} // the planner assigns the keys once a member accepts them
 	}
-	owned := dir.OwnedBy(addr)
-	ranges := make([]directory.Assignment, 0, len(owned))
-	for _, a := range owned {
+	entries, ranges := joinNeighbours(dir, addr)
+	entries = append(entries, spreadRanges(dir, ranges, placement.NewDistribution(candidates, placement.Receivers(candidates)))...)
+	return append(entries, member.DeleteEntry())
+}
+
+// joinNeighbours returns the ranges of the member at addr, with neighbouring ones joined, and
+// the entries that remove those that were joined to the one before them.
+func joinNeighbours(dir *directory.Directory, addr netip.AddrPort) ([]directory.Entry, []directory.Assignment) {
+	var entries []directory.Entry
+	var ranges []directory.Assignment
+	for _, a := range dir.OwnedBy(addr) {
+		if n := len(ranges); n > 0 && ranges[n-1].Service == a.Service && int(ranges[n-1].Last)+1 == int(a.First) {
+			entries = append(entries, a.DeleteEntry())
+			ranges[n-1].Last = a.Last
+			continue
+		}
 		ranges = append(ranges, *a)
 	}
-	return append(spreadRanges(dir, ranges, receivers), member.DeleteEntry())
+	return entries, ranges
 }
 
 // receiverCandidates returns the members that accept keys of a service, except
@@ -257,21 +271,24 @@
 	return placement.AcceptingLoads(slices.DeleteFunc(m.loadsOf(now, service), func(l placement.Load) bool { return l.Member == exclude }))
 }
 
-// spreadRanges returns the entries that assign ranges to candidates in
-// proportion to their capacity. Wide ranges are split, and narrow ones are
-// assigned whole, one per candidate in turn: each range costs a grant to renew,
-// and an entry that all members read at startup.
-func spreadRanges(dir *directory.Directory, ranges []directory.Assignment, candidates []placement.Load) []directory.Entry {
+// spreadRanges returns the entries that assign ranges to the receivers of distribution in
+// proportion to their capacity. The widest ranges are split, and narrow ones are
+// assigned whole: each range costs a grant to renew, and an entry that all members read at
+// startup.
+func spreadRanges(dir *directory.Directory, ranges []directory.Assignment, distribution *placement.Distribution) []directory.Entry {
 	total := 0
 	for i := range ranges {
 		total += ranges[i].Width()
 	}
-	entries := make([]directory.Entry, 0, len(ranges)+len(candidates))
-	nextCandidate := 0
-	for _, a := range ranges {
-		count := splitCount(a.Width(), total, len(candidates))
-		receivers := rotate(candidates, nextCandidate)[:count]
-		nextCandidate += count
+	slices.SortStableFunc(ranges, func(a, b directory.Assignment) int { return cmp.Compare(b.Width(), a.Width()) })
+	parts := max(len(ranges), distribution.Len(), evacuationParts)
+	entries := make([]directory.Entry, 0, parts)
+	for i, a := range ranges {
+		others := len(ranges) - i - 1 // each of which needs a part
+		count := min(splitCount(a.Width(), total, distribution.Len()), parts-others)
+		parts -= count
+		before, after := dir.Neighbours(&a)
+		receivers := distribution.Choose(count, before, after)
 		owners := make([]netip.AddrPort, 0, len(receivers))
 		weights := make([]float64, 0, len(receivers))
 		for _, r := range receivers {
@@ -297,9 +314,3 @@
 	share := (width*candidates + total - 1) / total
 	return max(1, min(candidates, width/minWidth, max(share, placement.MaxReceivers)))
 }
-
-// rotate returns list rotated so that it begins with its element i.
-func rotate(list []placement.Load, i int) []placement.Load {
-	i %= len(list)
-	return append(slices.Clone(list[i:]), list[:i]...)
-}
--- a/io/mesh/grants.go
+++ b/io/mesh/grants.go
@@ -41,6 +41,9 @@
 	granted      bool
 	grantedUntil time.Time
 	grantedFor   time.Duration
+	// grantOutdated is set while the target holds the keys by grants of ranges that the
+	// directory has merged into this one.
+	grantOutdated bool
 	// grant holds until when the target may hold the keys.
 	grant grantsync.Grant
 	// grantInFlight is set while a grant call is in progress. unanswered is set once one
@@ -96,6 +99,9 @@
 // carryOver returns the holdings for a: existing ones where they have the same
 // fence, and new ones elsewhere.
 func (m *Mesh) carryOver(now time.Time, a *directory.Assignment) []*holding {
+	if merged := m.mergedHolding(now, a); merged != nil {
+		return []*holding{merged}
+	}
 	var list []*holding
 	next := int(a.First)
 	addNew := func(last int) {
@@ -345,7 +351,7 @@
 
 // grantIsDue reports whether h has to be granted or renewed.
 func (h *holding) grantIsDue(now time.Time) bool {
-	if !h.granted {
+	if !h.granted || h.grantOutdated {
 		return true
 	}
 	renewAfter := min(time.Duration(float64(h.grantedFor)*renewFraction), renewInterval)
@@ -481,7 +487,7 @@
 	case GrantApplied:
 		delete(m.fenceRaises, h.First)
 		newlyGranted := !h.granted
-		h.granted, h.grantedFor = true, hold
+		h.granted, h.grantOutdated, h.grantedFor = true, false, hold
 		h.grantedUntil = sentAt.Add(hold)
 		h.grant.MayHoldUntil = now.Add(grantsync.LongestHold(hold))
 		if newlyGranted {
--- a/io/mesh/maintenance.go
+++ b/io/mesh/maintenance.go
@@ -63,6 +63,8 @@
 	// leaseCheckedAt is when the length of the lease was last checked, and
 	// leaseDueSince since when it has had to be longer, or zero.
 	leaseCheckedAt, leaseDueSince time.Time
+	// mergeCheckedAt is when this member last looked for ranges to merge.
+	mergeCheckedAt time.Time
 }
 
 // backoff computes the delays between attempts. The delay starts at
@@ -102,6 +104,7 @@
 	waited := now.Sub(t.stableSince) - guardianDelay
 	guardiansDue := mayWrite && waited > 0 && m.guardiansDue(now) && waited > m.guardianWriteDelay()
 	leaseDue := mayWrite && t.leaseDue(now)
+	mergeDue := mayWrite && t.mergeDue(now)
 	exitDue := loaded && t.write.due(now) && len(m.exitEntries(m.dir)) > 0
 	m.mu.Unlock()
 	if exitDue { // first: the target waits for the acknowledgement
@@ -116,6 +119,19 @@
 	if guardiansDue {
 		t.commit(now, relaxedBackoff, "guardians", m.guardianEntries)
 	}
+	if mergeDue {
+		m.merge(t)
+	}
+}
+
+// mergeDue reports whether this member's neighbouring ranges are to be merged. The caller
+// holds the mutex.
+func (t *maintenance) mergeDue(now time.Time) bool {
+	if now.Sub(t.mergeCheckedAt) < mergeCheckInterval {
+		return false
+	}
+	t.mergeCheckedAt = now
+	return t.mesh.mergeDue(now)
 }
 
 // leaseDue reports whether this member's entry has to be written with a longer
@@ -280,16 +296,32 @@
 	if have != nil && have.Instance == want.Instance && have.Born == want.Born && have.Service == want.Service {
 		return entries
 	}
+	return append(entries, m.renewalEntries(dir)...)
+}
+
+// renewalEntries returns the entries that give all keys of this member a new fence, in as few
+// ranges as possible, since the target's new process holds none of them.
+func (m *Mesh) renewalEntries(dir *directory.Directory) []directory.Entry {
+	var entries []directory.Entry
+	merged := map[*directory.Assignment]bool{}
+	for _, run := range dir.Adjacent(m.cfg.Self, m.cfg.Service, func(*directory.Assignment) bool { return true }) {
+		entries = append(entries, dir.Merge(run)...)
+		for _, a := range run {
+			merged[a] = true
+		}
+	}
 	for _, a := range dir.OwnedBy(m.cfg.Self) {
-		if a.Service != m.cfg.Service {
+		switch {
+		case merged[a]:
+		case a.Service != m.cfg.Service:
 			// The address belonged to a member of another service, which has
 			// stopped.
 			entries = append(entries, a.DeleteEntry())
-			continue
+		default:
+			renewed := *a
+			renewed.Fence, renewed.Handover = dir.NextFence(), ""
+			entries = append(entries, renewed.PutEntry())
 		}
-		renewed := *a
-		renewed.Fence, renewed.Handover = dir.NextFence(), ""
-		entries = append(entries, renewed.PutEntry())
 	}
 	return entries
 }
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -354,6 +354,8 @@
 	// keys are to be transferred: the target is leaving, or its zone is evacuated.
 	transfers  int
 	evacuating bool
+	// merging is set while a change is in progress that merges ranges of this member.
+	merging bool
 	// pendingTransfers holds the released ranges that wait for a directory
 	// change to name their new owners. reassigning is set while such a change
 	// is in progress.
--- a/io/mesh/move.go
+++ b/io/mesh/move.go
@@ -38,7 +38,10 @@
 	if m.zoneEvacuated() {
 		return &peerpb.Reply{}
 	}
-	if m.transfers >= placement.MaxMoves || m.leaving || m.evacuating || !m.mayReassign(now) || yield.Service != m.cfg.Service || !m.leases.Holds(now, m.dir) {
+	if m.transfers >= placement.MaxMoves || m.merging || m.leaving || m.evacuating {
+		return &peerpb.Reply{}
+	}
+	if !m.mayReassign(now) || yield.Service != m.cfg.Service || !m.leases.Holds(now, m.dir) {
 		return &peerpb.Reply{}
 	}
 	h, ok := m.pickRange(yield.Demand)
@@ -260,7 +263,10 @@
 // progress, or the store is unreachable: released keys could not be assigned to
 // anyone. The caller holds the mutex.
 func (m *Mesh) evacuate() {
-	if m.transfers > 0 || !m.divided() || !m.mayTransferAll(boottime.Now()) || slices.ContainsFunc(m.holdings, func(h *holding) bool { return h.grantInFlight }) {
+	if m.transfers > 0 || m.merging || !m.divided() || !m.mayTransferAll(boottime.Now()) {
+		return
+	}
+	if slices.ContainsFunc(m.holdings, func(h *holding) bool { return h.grantInFlight }) {
 		return
 	}
 	parts, owners := m.planEvacuation()
@@ -284,19 +290,21 @@
 // of each. The caller holds the mutex.
 func (m *Mesh) planEvacuation() ([]*holding, []netip.AddrPort) {
 	now := boottime.Now()
-	candidates := placement.Receivers(m.receiverCandidates(now, m.cfg.Service, m.cfg.Self))
+	candidates := m.receiverCandidates(now, m.cfg.Service, m.cfg.Self)
 	if len(candidates) == 0 {
 		return nil, nil
 	}
-	partsPerHolding := max(1, min(len(candidates), evacuationParts/max(1, len(m.holdings))))
+	distribution := placement.NewDistribution(candidates, placement.Receivers(candidates))
+	partsPerHolding := max(1, evacuationParts/max(1, len(m.holdings)))
 	var parts []*holding
 	var owners []netip.AddrPort
-	for i, h := range slices.Clone(m.holdings) {
+	for _, h := range slices.Clone(m.holdings) {
 		if h.closeRequested {
 			continue
 		}
-		receivers := rotate(candidates, i*partsPerHolding)[:partsPerHolding]
-		weights := make([]float64, partsPerHolding)
+		before, after := m.dir.Neighbours(&h.Assignment)
+		receivers := distribution.Choose(partsPerHolding, before, after)
+		weights := make([]float64, len(receivers))
 		for j, r := range receivers {
 			weights[j] = r.Capacity()
 		}
--- a/io/mesh/plan.go
+++ b/io/mesh/plan.go
@@ -187,7 +187,7 @@
 	// Sort by address, so that neighbours in the key space do not depend on
 	// load.
 	slices.SortFunc(candidates, func(a, b placement.Load) int { return a.Member.Compare(b.Member) })
-	return spreadRanges(dir, ranges, candidates)
+	return spreadRanges(dir, ranges, placement.NewDistribution(candidates, candidates))
 }
 
 // requestYield asks the owner named in move to transfer some of its load.
--- a/io/mesh/sync_test.go
+++ b/io/mesh/sync_test.go
@@ -276,7 +276,7 @@
 				ranges = append(ranges, directory.Assignment{Service: "s", First: uint16(first), Last: uint16(first + row.width - 1)})
 			}
 			dir := directory.New()
-			entries := spreadRanges(dir, ranges, candidates)
+			entries := spreadRanges(dir, ranges, placement.NewDistribution(candidates, candidates))
 			require.True(t, dir.Apply(directory.Update{End: 1, Entries: entries}))
 			require.LessOrEqual(t, dir.RangeCount(), row.maxRanges)
 			keys := 0
