mesh: keys are not given to a member that has left

What callers saw: keys without service until the planner assigned them, up to half a second and more, when members were stopped one after another.

Cause: the receiver of a transfer is chosen before the target releases the keys. If it leaves meanwhile, the change of the directory names an owner that is no member.

Change: such keys go to another member that accepts keys, when the change is built.

--- a/io/mesh/move.go
+++ b/io/mesh/move.go
@@ -207,6 +207,7 @@
 // new owners.
 func (m *Mesh) transferEntries(dir *directory.Directory, batch []*rangeTransfer) []directory.Entry {
 	slices.SortFunc(batch, func(a, b *rangeTransfer) int { return cmp.Compare(a.holding.First, b.holding.First) })
+	m.replaceReceivers(dir, batch)
 	transfers := map[*directory.Assignment][]directory.Transfer{}
 	var order []*directory.Assignment
 	for _, t := range batch {
@@ -226,6 +227,24 @@
 	return entries
 }
 
+// replaceReceivers gives keys whose receiver has left since the transfer began to other members
+// in turn: the keys of a member that has left have no owner until the planner assigns them. The
+// caller holds the mutex.
+func (m *Mesh) replaceReceivers(dir *directory.Directory, batch []*rangeTransfer) {
+	var others []placement.Load
+	for i, t := range batch {
+		if member := dir.Member(t.to); member != nil && member.State == directory.Active {
+			continue
+		}
+		if others == nil {
+			others = m.receiverCandidates(boottime.Now(), t.holding.Service, m.cfg.Self)
+		}
+		if len(others) > 0 {
+			t.to = others[i%len(others)].Member
+		}
+	}
+}
+
 // stillOwns returns the assignment by which this member owns the keys of h, or
 // nil.
 func (m *Mesh) stillOwns(dir *directory.Directory, h *holding) *directory.Assignment {
