mesh: a request without a route is refused for good only by the newest configuration

Cause: a daemon answers 404 from the version that it has, also when replies of other daemons have told it that there is a newer one, and when it has heard from nobody for seconds, as a daemon does that is short of processor time.

Unless one that was sent within the last second has confirmed the version, and none has named a newer one, a request without a route gets 503 with a time to come back (config_unconfirmed). A daemon without other members decides as before.

--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -73,30 +73,33 @@
 
 // Reasons why a request was not answered.
 const (
-	NotOwner      Reason = "not_owner"      // the daemon does not own the key
-	NoOwner       Reason = "no_owner"       // the key has no owner at present
-	NoLease       Reason = "no_lease"       // the owner's lease has lapsed (expired)
-	NoService     Reason = "no_service"     // the settings contain no such service
-	Starting      Reason = "starting"       // the daemon has not read the log yet
-	Overloaded    Reason = "overloaded"     // the queue is too long for the request to end in time
-	CallsFailing  Reason = "calls_failing"  // calls that targets make for such requests fail
-	QueueFull     Reason = "queue_full"     // the queue holds too many requests
-	Draining      Reason = "draining"       // the daemon or its target is about to leave the fleet
-	Stopping      Reason = "stopping"       // the daemon ends before the deadline of the request
-	Evacuated     Reason = "evacuated"      // the operator has evacuated the zone of the target
-	Shed          Reason = "shed"           // the target refused the request and did not run it
-	DeadlinePast  Reason = "deadline_past"  // the deadline passed before the request was sent
-	Duplicate     Reason = "duplicate"      // the request id was seen before
-	Unreachable   Reason = "unreachable"    // no connection to the owning daemon or the target could be made
-	Cancelled     Reason = "cancelled"      // the caller cancelled the request or disconnected
-	ConnectionCut Reason = "connection_cut" // the connection closed before the response was complete
-	TimedOut      Reason = "timed_out"      // the request made no progress within the time limit
-	Malformed     Reason = "malformed"      // the request is invalid
-	TooLarge      Reason = "too_large"      // the body exceeds the size limit
-	Fenced        Reason = "fenced"         // the target refused the request because of a stale grant
-	Quarantined   Reason = "quarantined"    // the request may crash targets
-	OnTrial       Reason = "on_trial"       // the request may crash targets, and another one like it is running
-	TargetCrashed Reason = "target_crashed" // the target's process ended, and the request may have been the cause
+	NotOwner  Reason = "not_owner"  // the daemon does not own the key
+	NoOwner   Reason = "no_owner"   // the key has no owner at present
+	NoLease   Reason = "no_lease"   // the owner's lease has lapsed (expired)
+	NoService Reason = "no_service" // the settings contain no such service
+	Starting  Reason = "starting"   // the daemon has not read the log yet
+	// UnconfirmedConfig means that the configuration has no route for the request, and may not
+	// be the newest one.
+	UnconfirmedConfig Reason = "config_unconfirmed"
+	Overloaded        Reason = "overloaded"     // the queue is too long for the request to end in time
+	CallsFailing      Reason = "calls_failing"  // calls that targets make for such requests fail
+	QueueFull         Reason = "queue_full"     // the queue holds too many requests
+	Draining          Reason = "draining"       // the daemon or its target is about to leave the fleet
+	Stopping          Reason = "stopping"       // the daemon ends before the deadline of the request
+	Evacuated         Reason = "evacuated"      // the operator has evacuated the zone of the target
+	Shed              Reason = "shed"           // the target refused the request and did not run it
+	DeadlinePast      Reason = "deadline_past"  // the deadline passed before the request was sent
+	Duplicate         Reason = "duplicate"      // the request id was seen before
+	Unreachable       Reason = "unreachable"    // no connection to the owning daemon or the target could be made
+	Cancelled         Reason = "cancelled"      // the caller cancelled the request or disconnected
+	ConnectionCut     Reason = "connection_cut" // the connection closed before the response was complete
+	TimedOut          Reason = "timed_out"      // the request made no progress within the time limit
+	Malformed         Reason = "malformed"      // the request is invalid
+	TooLarge          Reason = "too_large"      // the body exceeds the size limit
+	Fenced            Reason = "fenced"         // the target refused the request because of a stale grant
+	Quarantined       Reason = "quarantined"    // the request may crash targets
+	OnTrial           Reason = "on_trial"       // the request may crash targets, and another one like it is running
+	TargetCrashed     Reason = "target_crashed" // the target's process ended, and the request may have been the cause
 )
 
 // MayRetry reports whether a request with the result res may be retried. It panics
--- /dev/null
+++ b/core/routing/currency.go
@@ -0,0 +1,37 @@
+package routing
+
+import "time"
+
+// Currency tells whether a daemon's configuration is known to be the newest one. A daemon that
+// is short of processor time, or that reaches neither the store nor other daemons, can be
+// behind for longer than a change may take to be in effect; a request for a route that its
+// version lacks must then not be refused for good. The load that it answers is such a
+// daemon's: it needs no call of its own, only the versions in replies that arrive anyway.
+//
+// The zero value knows of no version. Currency is not safe for concurrent use.
+type Currency struct {
+	// newest is the newest version that another daemon has reported.
+	newest uint64
+	// confirmedAt is when a daemon certainly had no newer version than confirmed.
+	confirmedAt time.Time
+	confirmed   uint64
+}
+
+// MaxConfirmationAge is how old a confirmation may be. It is three times the interval between
+// the replies of other daemons, and half of the time in which a change has to be in effect.
+const MaxConfirmationAge = time.Second
+
+// Observe records that another daemon has reported its version, in a reply to a message that
+// was sent at sentAt. The daemon may have read a newer one since.
+func (c *Currency) Observe(sentAt time.Time, version uint64) {
+	c.newest = max(c.newest, version)
+	if version >= c.confirmed && sentAt.After(c.confirmedAt) {
+		c.confirmed, c.confirmedAt = version, sentAt
+	}
+}
+
+// Current reports whether version is the newest one as far as is known at now: no daemon has
+// reported a newer one, and one has confirmed it within MaxConfirmationAge.
+func (c *Currency) Current(now time.Time, version uint64) bool {
+	return c.newest <= version && c.confirmed == version && now.Sub(c.confirmedAt) <= MaxConfirmationAge
+}
--- a/io/mesh/ingress.go
+++ b/io/mesh/ingress.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"time"
 
@@ -144,7 +145,7 @@
 	}
 	route, ok := table.Match(req.Host, req.Path)
 	if !ok {
-		return Refused{NotRun: outcome.NotRun{Reason: outcome.NoService}, Status: http.StatusNotFound}
+		return m.unknownRoute(boottime.Now(), table)
 	}
 	if req.ContentLength > table.Limits.MaxBodyBytes && table.Limits.MaxBodyBytes > 0 {
 		return Refused{NotRun: outcome.NotRun{Reason: outcome.TooLarge}, Status: http.StatusRequestEntityTooLarge}
@@ -338,6 +339,27 @@
 	return notRun
 }
 
+// unknownRoute returns the result of a request that table has no route for: it is refused for
+// good only if table is known to be the newest version.
+func (m *Mesh) unknownRoute(now time.Time, table *routing.Table) outcome.Result {
+	m.mu.Lock()
+	current := m.loaded && (!m.hasOtherMembers() || m.configCurrency.Current(now, table.Version))
+	m.mu.Unlock()
+	if current {
+		return Refused{NotRun: outcome.NotRun{Reason: outcome.NoService}, Status: http.StatusNotFound}
+	}
+	m.metrics.unconfirmedConfig.Inc(1)
+	return outcome.NotRun{Reason: outcome.UnconfirmedConfig, RetryAfter: lossRetryAfter}
+}
+
+// hasOtherMembers reports whether another daemon can tell which versions there are. The caller
+// holds the mutex.
+func (m *Mesh) hasOtherMembers() bool {
+	return slices.ContainsFunc(m.dir.Members(), func(member *directory.Member) bool {
+		return member.Address != m.cfg.Self && member.State == directory.Active
+	})
+}
+
 // sendOnce makes one attempt to send the request.
 func (m *Mesh) sendOnce(ctx context.Context, c *call) outcome.Result {
 	if !c.divided {
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -284,6 +284,8 @@
 	// configuration as the operator published it.
 	table    *routing.Table
 	document []byte
+	// configCurrency tells whether table is the newest version.
+	configCurrency routing.Currency
 	// loaded is set once the directory is known.
 	loaded bool
 	// leaving is set once this daemon is shutting down, and draining once it
--- a/io/mesh/metrics.go
+++ b/io/mesh/metrics.go
@@ -66,6 +66,9 @@
 	// rejectedForCalls counts the requests that were rejected because the calls of their route
 	// fail.
 	rejectedForCalls *counter
+	// unconfirmedConfig counts the requests for unknown routes that were not refused for good,
+	// since there may be a newer configuration.
+	unconfirmedConfig *counter
 	// storeEra is the era of the store.
 	storeEra tally.Gauge
 	// choices counts the choices of targets of shared services by reason, twoChoices those
@@ -124,6 +127,7 @@
 		evacuatedZones:    scope.Gauge("evacuated_zones"),
 		rejectedEvacuated: newCounter(scope, "requests_rejected_evacuated"),
 		rejectedForCalls:  newCounter(scope, "requests_rejected_for_calls"),
+		unconfirmedConfig: newCounter(scope, "requests_config_unconfirmed"),
 		storeEra:          scope.Gauge("store_era"),
 		sentRate:          scope.Gauge("target_requests_per_second"),
 		timerLag:          lagRecorder{histogram: scope.Histogram("timer_lag", buckets)},
