--- a/io/mesh/configfetch.go
+++ b/io/mesh/configfetch.go
@@ -63,6 +63,12 @@
 	if err != nil || len(reply.Config) == 0 {
 		return
 	}
+	m.mu.Lock()
+	_, needed = m.behind(0, max(version, reply.SettingsVersion))
+	m.mu.Unlock()
+	if !needed {
+		return // it has arrived meanwhile, and need not be decoded again
+	}
 	table, err := m.decodeConfig(reply.Config)
 	if err != nil {
 		m.log.Warn("received an invalid configuration from a peer", "peer", addr, "error", err)
--- a/io/mesh/configfetch_test.go
+++ b/io/mesh/configfetch_test.go
@@ -92,3 +92,25 @@
 		})
 	}
 }
+
+// TestFetchedConfigurationIsDecodedAgain guards against a daemon that spends its processor time on documents which it has applied meanwhile.
+func TestFetchedConfigurationIsDecodedAgain(t *testing.T) {
+	m := newConfiguredMesh(t)
+	decode, decoded := m.decodeConfig, 0
+	m.decodeConfig = func(document []byte) (*routing.Table, error) { decoded++; return decode(document) }
+	slow := &configPeer{stalls: func(*peerpb.Call) bool { return true }, called: make(chan struct{}, 1), released: make(chan struct{})}
+	addr := slow.listen(t)
+	m.handleHeartbeat(&peerpb.Heartbeat{From: addr.String(), ConfigVersion: 2})
+	<-slow.called
+	document := binary.BigEndian.AppendUint64(nil, 2)
+	table, err := decode(document)
+	require.NoError(t, err)
+	m.Configure(table, document)
+	close(slow.released)
+	require.Eventually(t, func() bool {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return len(m.configFetches.from) == 0
+	}, time.Second, time.Millisecond)
+	require.Zero(t, decoded)
+}
--- a/io/mesh/peers.go
+++ b/io/mesh/peers.go
@@ -27,7 +27,11 @@
 	case *peerpb.Call_FetchConfig:
 		m.mu.Lock()
 		defer m.mu.Unlock()
-		return &peerpb.Reply{Config: m.document}
+		reply := &peerpb.Reply{Config: m.document}
+		if m.table != nil {
+			reply.SettingsVersion = m.table.Version
+		}
+		return reply
 	case *peerpb.Call_Heard:
 		return m.handleHeard(kind.Heard)
 	case *peerpb.Call_EraSync:
