mesh: an append without an answer is undetermined on every path

Cause: an append has three outcomes, and a bool and an error stood for them. A daemon that the store turns away asks others to append for it; one that gets no answer from the store replied in the same way as one whose call was rejected. Also, after a relay that did not reply at all, the error of the daemon's own rejected call was returned, which says that the change was not applied. The daemon opened the range on its old grants, and the store made the change up to 6 s later.

Change: directory.AppendResult is one of the types Applied, Conflicted, NotApplied and Undetermined. directory.Combine keeps an undetermined attempt undetermined, whatever later attempts say. A reply to a relayed append has not_applied set if that is certain; a reply of an older daemon counts as undetermined.

--- a/io/mesh/configfetch_test.go
+++ b/io/mesh/configfetch_test.go
@@ -37,12 +37,13 @@
 	return &peerpb.Reply{Config: binary.BigEndian.AppendUint64(nil, 2)}
 }
 
-// listen serves the calls of other daemons until the test ends, and returns the address.
-func (p *configPeer) listen(t *testing.T) netip.AddrPort {
+// listenAs serves the calls of other daemons with handler until the test ends, and returns the
+// address.
+func listenAs(t *testing.T, handler peer.Handler) netip.AddrPort {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	server := peer.NewServer(listener, "peer", p, hclog.NewNullLogger())
+	server := peer.NewServer(listener, "peer", handler, hclog.NewNullLogger())
 	t.Cleanup(func() { _ = server.Close() })
 	return listener.Addr().(*net.TCPAddr).AddrPort()
 }
@@ -79,7 +80,7 @@
 		t.Run(row.name, func(t *testing.T) {
 			m := newConfiguredMesh(t)
 			slow := &configPeer{stalls: row.stalls, called: make(chan struct{}, 1), released: make(chan struct{})}
-			slowAddr, otherAddr := slow.listen(t), (&configPeer{}).listen(t)
+			slowAddr, otherAddr := listenAs(t, slow), listenAs(t, &configPeer{})
 			t.Cleanup(func() { close(slow.released) })
 			m.handleHeartbeat(&peerpb.Heartbeat{From: slowAddr.String(), DirectoryEnd: m.dir.Version() + 1, ConfigVersion: 2})
 			<-slow.called
@@ -99,7 +100,7 @@
 	decode, decoded := m.decodeConfig, 0
 	m.decodeConfig = func(document []byte) (*routing.Table, error) { decoded++; return decode(document) }
 	slow := &configPeer{stalls: func(*peerpb.Call) bool { return true }, called: make(chan struct{}, 1), released: make(chan struct{})}
-	addr := slow.listen(t)
+	addr := listenAs(t, slow)
 	m.handleHeartbeat(&peerpb.Heartbeat{From: addr.String(), ConfigVersion: 2})
 	<-slow.called
 	document := binary.BigEndian.AppendUint64(nil, 2)
--- a/io/mesh/era.go
+++ b/io/mesh/era.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -182,11 +183,13 @@
 	end := max(missing.Leftover.End, directory.VersionAt(missing.Era, 0))
 	for _, part := range splitEntries(entries, maxEraAppendBytes) {
 		ctx, cancel := m.withTimeout(fullReadTimeout)
-		end, err = m.store.Append(ctx, directory.Update{Base: end, Entries: part})
+		result := m.store.Append(ctx, directory.Update{Base: end, Entries: part})
 		cancel()
-		if err != nil {
-			return err // if it was applied after all, a later read finds it
+		applied, ok := result.(directory.Applied)
+		if !ok {
+			return fmt.Errorf("era %d is not written: %T", missing.Era, result) // if it was applied after all, a later read finds it
 		}
+		end = applied.End
 	}
 	u := directory.Update{End: end, Entries: withoutDeletions(entries)}
 	m.mu.Lock()
--- a/io/mesh/evacuation_test.go
+++ b/io/mesh/evacuation_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/netip"
@@ -430,17 +431,20 @@
 	require.Equal(t, evacuation.Serve, m.evacuation.Verdict(now, "b"))
 }
 
+// errRejected is the error of a call that a store rejects.
+var errRejected = errors.New("rejected")
+
 // rejectingStore is a store that rejects the calls of this daemon.
 type rejectingStore struct{ *countingStore }
 
 // Append implements Store.
-func (rejectingStore) Append(context.Context, directory.Update) (uint64, error) {
-	return 0, ErrNotApplied
+func (rejectingStore) Append(context.Context, directory.Update) directory.AppendResult {
+	return directory.NotApplied{Cause: errRejected}
 }
 
 // Read implements Store.
 func (rejectingStore) Read(context.Context, uint64) (directory.Update, error) {
-	return directory.Update{}, ErrNotApplied
+	return directory.Update{}, errRejected
 }
 
 // TestStoreRejectsDaemonOfEvacuatedZone guards against keys that stay in an evacuated zone, where no request for
--- a/io/mesh/stop_test.go
+++ b/io/mesh/stop_test.go
@@ -114,9 +114,9 @@
 type silentStore struct{ Store }
 
 // Append implements Store.
-func (silentStore) Append(ctx context.Context, _ directory.Update) (uint64, error) {
+func (silentStore) Append(ctx context.Context, _ directory.Update) directory.AppendResult {
 	<-ctx.Done()
-	return 0, ctx.Err()
+	return directory.Undetermined{Cause: ctx.Err()}
 }
 
 // Read implements Store.
@@ -297,7 +297,7 @@
 	task := maintenance{mesh: m, started: now}
 	m.leases.RecordStoreRead(now, 0)
 	m.storeOK, m.leaving = true, true
-	m.recordStoreResult(ErrNotApplied)
+	m.recordStoreResult(errRejected)
 	require.False(t, m.storeOK)
 	for _, g := range me.Guardians { // the guardians renew the lease
 		m.leases.RecordGrant(now.Add(900*time.Millisecond), now.Add(900*time.Millisecond), g)
--- a/io/mesh/sync.go
+++ b/io/mesh/sync.go
@@ -22,15 +22,11 @@
 	// changes since that version.
 	// It is an *EraError if the directory has not been written into the store's era.
 	Read(ctx context.Context, since uint64) (directory.Update, error)
-	// Append applies the changes in u if the directory's version is u.Base, and
-	// returns the new version. The error is a *ConflictError if the directory had
-	// another version, and ErrNotApplied if the changes were not and will not be
-	// applied. After any other error the changes may have been applied or may
-	// be applied later.
+	// Append applies the changes in u if the directory's version is u.Base.
 	//
-	// If the store is in a later era than u.Base, the error is an *EraError, and the
-	// changes have no effect.
-	Append(ctx context.Context, u directory.Update) (uint64, error)
+	// If the store is in a later era than u.Base, the result is NotApplied with an
+	// *EraError, and the changes have no effect.
+	Append(ctx context.Context, u directory.Update) directory.AppendResult
 	// ReadFormer returns the directory that the store has of the latest era before the
 	// given one, or an empty one if it has none. The store may have lost its newest
 	// changes.
@@ -56,28 +52,18 @@
 	return fmt.Sprintf("the directory is not in era %d of the store yet", e.Era)
 }
 
-// ConflictError is the error of an Append to a directory that has changed since
-// the base version.
-type ConflictError struct {
-	// End is the current version of the directory.
-	End uint64
-}
-
-// Error implements error.
-func (*ConflictError) Error() string { return "the directory has changed since the base version" }
-
-// ErrNotApplied is the error of an Append whose changes were not and will not be
-// applied.
-var ErrNotApplied = errors.New("the store did not accept the call")
-
 // ErrTrimmed is the error of a Read from a version older than the store keeps.
 var ErrTrimmed = errors.New("the requested changes are no longer kept")
 
 var (
 	errStoreUnavailable = errors.New("neither the store nor a peer that reaches it responds")
-	errContended        = errors.New("every attempt conflicted with another change of the directory")
-	errShuttingDown     = errors.New("the daemon is shutting down")
-	errEraPending       = errors.New("the directory is not in the store's era yet")
+	// errConflict is the cause of a change that is pending after a conflict.
+	errConflict          = errors.New("the directory has changed since the base version")
+	errRelayRejected     = errors.New("the store did not accept the call of a peer")
+	errRelayUndetermined = errors.New("a peer does not know the result of its call")
+	errContended         = errors.New("every attempt conflicted with another change of the directory")
+	errShuttingDown      = errors.New("the daemon is shutting down")
+	errEraPending        = errors.New("the directory is not in the store's era yet")
 )
 
 const (
@@ -190,40 +176,65 @@
 // appendToStore appends to the store or, if the store does not accept the call,
 // through a peer. Repeating the append is safe: at most one append to a given
 // version succeeds.
-func (m *Mesh) appendToStore(u directory.Update) (uint64, error) {
+func (m *Mesh) appendToStore(u directory.Update) directory.AppendResult {
 	ctx, cancel := m.withTimeout(storeTimeout)
-	end, err := m.store.Append(ctx, u)
+	result := m.store.Append(ctx, u)
 	cancel()
 	m.metrics.storeAppends.Inc(1)
-	var conflict *ConflictError
-	var era *EraError
-	if err == nil || errors.As(err, &conflict) || errors.As(err, &era) {
-		m.recordStoreResult(nil)
-		if conflict != nil {
+	err := storeFailure(result)
+	m.recordStoreResult(err)
+	if err == nil {
+		if _, conflicted := result.(directory.Conflicted); conflicted {
 			m.metrics.conflicts.Inc(1)
 		}
-		return end, err
+		return result
 	}
-	m.recordStoreResult(err)
-	notApplied := errors.Is(err, ErrNotApplied)
 	for _, addr := range m.relays() {
-		ctx, cancel := m.withTimeout(relayTimeout)
-		reply, callErr := m.pool.Call(ctx, addr, &peerpb.Call{Kind: &peerpb.Call_Relay{Relay: &peerpb.Relay{Append: updateToProto(u)}}})
-		cancel()
-		m.observeEra(boottime.Now(), reply.GetStoreEra())
-		switch {
-		case callErr != nil:
-			notApplied = false
-		case reply.Granted:
-			return reply.NextOffset, nil
-		case reply.Conflict:
-			return 0, &ConflictError{End: reply.NextOffset}
+		result = directory.Combine(result, m.appendThrough(addr, u))
+		switch result.(type) {
+		case directory.Applied, directory.Conflicted:
+			return result
+		}
+	}
+	return result
+}
+
+// storeFailure returns the error if result shows that the store does not answer this daemon.
+func storeFailure(result directory.AppendResult) error {
+	switch result := result.(type) {
+	case directory.Applied, directory.Conflicted:
+		return nil
+	case directory.NotApplied:
+		var era *EraError
+		if errors.As(result.Cause, &era) {
+			return nil
 		}
+		return result.Cause
+	case directory.Undetermined:
+		return result.Cause
+	default:
+		panic(fmt.Sprintf("unexpected result of an append: %T", result))
 	}
-	if notApplied {
-		return 0, ErrNotApplied
+}
+
+// appendThrough appends to the store through the daemon at addr.
+func (m *Mesh) appendThrough(addr netip.AddrPort, u directory.Update) directory.AppendResult {
+	ctx, cancel := m.withTimeout(relayTimeout)
+	defer cancel()
+	reply, err := m.pool.Call(ctx, addr, &peerpb.Call{Kind: &peerpb.Call_Relay{Relay: &peerpb.Relay{Append: updateToProto(u)}}})
+	m.observeEra(boottime.Now(), reply.GetStoreEra())
+	switch {
+	case err != nil:
+		return directory.Undetermined{Cause: err}
+	case reply.Granted:
+		return directory.Applied{End: reply.NextOffset}
+	case reply.Conflict:
+		return directory.Conflicted{End: reply.NextOffset}
+	case reply.NotApplied:
+		return directory.NotApplied{Cause: errRelayRejected}
+	default:
+		return directory.Undetermined{Cause: errRelayUndetermined}
 	}
-	return 0, err
 }
 
 // recordStoreResult records whether the last call to the store succeeded, and
@@ -278,13 +289,13 @@
 		}
 		return &peerpb.Reply{Granted: true, NextOffset: u.End, Update: updateToProto(u), StoreEra: m.store.Era()}
 	}
-	end, err := m.store.Append(ctx, updateFromProto(relay.Append))
-	var conflict *ConflictError
-	switch {
-	case err == nil:
-		return &peerpb.Reply{Granted: true, NextOffset: end}
-	case errors.As(err, &conflict):
-		return &peerpb.Reply{Conflict: true, NextOffset: conflict.End}
+	switch result := m.store.Append(ctx, updateFromProto(relay.Append)).(type) {
+	case directory.Applied:
+		return &peerpb.Reply{Granted: true, NextOffset: result.End}
+	case directory.Conflicted:
+		return &peerpb.Reply{Conflict: true, NextOffset: result.End}
+	case directory.NotApplied:
+		return &peerpb.Reply{NotApplied: true, StoreEra: m.store.Era()}
 	default:
 		return &peerpb.Reply{StoreEra: m.store.Era()}
 	}
@@ -394,30 +405,30 @@
 		if len(u.Entries) == 0 {
 			return nil
 		}
-		end, err := m.appendToStore(u)
-		var conflict *ConflictError
-		var era *EraError
-		switch {
-		case err == nil:
-			u.End = end
+		var conflictEnd uint64 // 0 if there was no conflict
+		switch result := m.appendToStore(u).(type) {
+		case directory.Applied:
+			u.End = result.End
 			*pending = m.applyCommitted(what, u)
 			continue
-		case errors.As(err, &conflict):
+		case directory.Conflicted:
 			// The conflicting change may be an earlier attempt of this change.
-			*pending = pendingChangeError{base: max(u.Base, conflict.End-1), cause: err}
-		case errors.Is(err, ErrNotApplied), errors.As(err, &era):
-			return fail(err)
-		default:
+			conflictEnd = result.End
+			*pending = pendingChangeError{base: max(u.Base, result.End-1), cause: errConflict}
+		case directory.NotApplied:
+			return fail(result.Cause)
+		case directory.Undetermined:
+			err = result.Cause
 			*pending = pendingChangeError{base: u.Base, cause: err}
 		}
 		m.waitBeforeRetry(delays, attempt)
 		m.mu.Lock()
-		caughtUp := conflict != nil && m.dir.Version() >= conflict.End
+		caughtUp := conflictEnd > 0 && m.dir.Version() >= conflictEnd
 		m.mu.Unlock()
 		if caughtUp {
 			continue // the other members' changes have already arrived
 		}
-		if !m.refreshDirectory() && conflict == nil {
+		if !m.refreshDirectory() && conflictEnd == 0 {
 			return fail(err)
 		}
 	}
--- a/io/mesh/sync_test.go
+++ b/io/mesh/sync_test.go
@@ -91,16 +91,16 @@
 }
 
 // Append implements Store.
-func (s *countingStore) Append(_ context.Context, u directory.Update) (uint64, error) {
+func (s *countingStore) Append(_ context.Context, u directory.Update) directory.AppendResult {
 	time.Sleep(s.appendDelay)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.appends++
 	if u.Base != s.version {
-		return 0, &ConflictError{End: s.version}
+		return directory.Conflicted{End: s.version}
 	}
 	s.version += uint64(len(u.Entries))
-	return s.version, nil
+	return directory.Applied{End: s.version}
 }
 
 // ReadFormer implements Store.
