tcp: the test of evicted connections waits until each is idle

The server records that a connection is idle after its response has been written, so that under load the order of the records is not that of the responses. The product evicts by its records, as it should. The test now waits for each record; it checks the same connections.

--- a/io/tcp/connlimit_test.go
+++ b/io/tcp/connlimit_test.go
@@ -84,6 +84,8 @@
 		conn := s.open(t, "/")
 		require.Equal(t, http.StatusNoContent, answered(t, conn))
 		idle = append(idle, conn)
+		// The server records that a connection is idle after its response was written.
+		require.Eventually(t, func() bool { return s.conns.Load().Idle == len(idle) }, 5*time.Second, 100*time.Microsecond)
 	}
 	require.Zero(t, s.conns.Load().Evicted)
 	require.Equal(t, http.StatusNoContent, answered(t, s.open(t, "/")))
