mesh: a line each second on whether the daemon gets to run

Cause: the logs of the incident could not tell a daemon that is short of processor time from one that is cut off. Lines on single requests filled what is kept of a log in two seconds, and the metrics of the Go runtime what is kept of the metrics page.

Change: the line 'state' has, each second, the processor time used, the wait of goroutines for the processor (io/goruntime), the ages of the configuration, of the last answered heartbeat and of the store's last answer, and the callers' requests by reason. The daemon's own metrics come first on their page.

--- a/core/routing/currency.go
+++ b/core/routing/currency.go
@@ -30,6 +30,15 @@
 	}
 }
 
+// ConfirmedAt returns when version was last confirmed to be the newest one, or zero if that was
+// never the case or a newer one is known.
+func (c *Currency) ConfirmedAt(version uint64) time.Time {
+	if c.newest > version || c.confirmed != version {
+		return time.Time{}
+	}
+	return c.confirmedAt
+}
+
 // Current reports whether version is the newest one as far as is known at now: no daemon has
 // reported a newer one, and one has confirmed it within MaxConfirmationAge.
 func (c *Currency) Current(now time.Time, version uint64) bool {
--- a/io/mesh/admission.go
+++ b/io/mesh/admission.go
@@ -73,6 +73,9 @@
 		queued, ran = times.admittedAt.Sub(times.arrivedAt), times.finishedAt.Sub(times.admittedAt)
 	}
 	now := times.finishedAt
+	if !m.requestLines.allow(now, requestLine{message, reasonOf(res)}) {
+		return
+	}
 	load := m.scheduler.Load()
 	m.mu.Lock()
 	lease := m.leases.HeldUntil(m.dir)
--- a/io/mesh/heartbeat.go
+++ b/io/mesh/heartbeat.go
@@ -141,6 +141,7 @@
 	m.mergeEvacuations(now, addr.String(), reply.Evacuations)
 	m.evacuation.Confirm(sentAt)
 	m.configCurrency.Observe(sentAt, reply.SettingsVersion)
+	m.heartbeatAnsweredAt = now
 	m.leases.RecordHeartbeat(now, addr)
 	m.leases.RecordConfirmation(now, addr, reply.NextOffset)
 	if msg.Renew && reply.Granted {
--- a/io/mesh/ingress.go
+++ b/io/mesh/ingress.go
@@ -139,6 +139,13 @@
 // Serve routes a caller's request and writes the answer to sink. The result is
 // one of the results of package outcome, or Refused.
 func (m *Mesh) Serve(ctx context.Context, req *Request, sink Sink) outcome.Result {
+	res := m.route(ctx, req, sink)
+	m.outcomes.add(res)
+	return res
+}
+
+// route is Serve, without counting the result.
+func (m *Mesh) route(ctx context.Context, req *Request, sink Sink) outcome.Result {
 	table := m.Table()
 	if table == nil {
 		return outcome.NotRun{Reason: outcome.Starting, RetryAfter: lossRetryAfter}
@@ -449,6 +456,9 @@
 	if answered {
 		message = "request answered late"
 	}
+	if !m.requestLines.allow(now, requestLine{message, reasonOf(res)}) {
+		return
+	}
 	m.mu.Lock()
 	version, storeOK := m.dir.Version(), m.storeOK
 	owner, fence, age := m.lastOwner(now, c)
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -27,6 +27,8 @@
 //	era          writes the directory into the store after the store came back from
 //	             a copy (era.go)
 //	usage log    logs the process's resource usage and activity (usage.go)
+//	state log    logs each second what tells a daemon that is slow, cut off or overloaded
+//	             from one that is well (state.go)
 //
 // The directory is read and changed in sync.go; replication.go exchanges its
 // changes with the other members.
@@ -349,8 +351,13 @@
 	// targets of each shared service. Both have their own locks.
 	meter     workload.Meter
 	workloads workload.Tables
-	// storeOK is set if the last call to the store succeeded.
-	storeOK bool
+	// storeOK is set if the last call to the store succeeded, and storeAnsweredAt is when one
+	// last did. heartbeatAnsweredAt is when another daemon last replied to a heartbeat.
+	storeOK                              bool
+	storeAnsweredAt, heartbeatAnsweredAt time.Time
+	// outcomes counts the requests of callers for the log.
+	outcomes     outcomeCounts
+	requestLines requestLines
 	// transfers counts the transfers of keys to other members that are in
 	// progress. evacuating is set while no grant may be renewed because all
 	// keys are to be transferred: the target is leaving, or its zone is evacuated.
@@ -416,6 +423,7 @@
 	m.tomb.Go(m.runGrants)
 	m.tomb.Go(m.runPlanner)
 	m.tomb.Go(m.runUsageLog)
+	m.tomb.Go(m.runStateLog)
 	m.tomb.Go(m.runEra)
 	m.tomb.Go(m.runColdStart)
 	return m
--- a/io/mesh/metrics.go
+++ b/io/mesh/metrics.go
@@ -77,9 +77,12 @@
 	twoChoices tally.Counter
 	reportAge  tally.Histogram
 	timerLag   lagRecorder
-	goroutines tally.Gauge
-	ranges     tally.Gauge
-	sessions   tally.Gauge
+	// goroutineWait is how long goroutines waited for the processor in the last second, and
+	// configAge how long ago the configuration was confirmed to be the newest, in seconds.
+	goroutineWait, configAge tally.Gauge
+	goroutines               tally.Gauge
+	ranges                   tally.Gauge
+	sessions                 tally.Gauge
 }
 
 // newMetrics returns metrics registered in scope.
@@ -131,6 +134,8 @@
 		storeEra:          scope.Gauge("store_era"),
 		sentRate:          scope.Gauge("target_requests_per_second"),
 		timerLag:          lagRecorder{histogram: scope.Histogram("timer_lag", buckets)},
+		goroutineWait:     scope.Gauge("goroutine_wait_seconds"),
+		configAge:         scope.Gauge("config_age_seconds"),
 		goroutines:        scope.Gauge("goroutines"),
 		ranges:            scope.Gauge("directory_ranges"),
 		sessions:          scope.Gauge("sessions_open"),
--- a/io/mesh/sync.go
+++ b/io/mesh/sync.go
@@ -243,6 +243,9 @@
 	m.observeEra(boottime.Now(), m.store.Era())
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if err == nil {
+		m.storeAnsweredAt = boottime.Now()
+	}
 	if ok := err == nil; ok != m.storeOK {
 		m.storeOK = ok
 		if ok {
--- a/io/mesh/usage.go
+++ b/io/mesh/usage.go
@@ -38,21 +38,36 @@
 // of CPU time fire late; those of a process that waits for others do not.
 type lagRecorder struct {
 	histogram tally.Histogram
-	// longest is the longest delay since the last call of takeMax, in nanoseconds.
-	longest atomic.Int64
+	// longest and recent are the longest delays since the last calls of takeMax and takeRecentMax.
+	longest, recent maxDuration
 }
 
+// maxDuration is the longest of the durations that were recorded. It is safe for concurrent use.
+type maxDuration struct{ nanoseconds atomic.Int64 }
+
+// record records d.
+func (m *maxDuration) record(d time.Duration) {
+	for longest := m.nanoseconds.Load(); int64(d) > longest && !m.nanoseconds.CompareAndSwap(longest, int64(d)); {
+		longest = m.nanoseconds.Load()
+	}
+}
+
+// take returns the longest duration since its last call.
+func (m *maxDuration) take() time.Duration { return time.Duration(m.nanoseconds.Swap(0)) }
+
 // record records a timer that was due at due and fired at now.
 func (l *lagRecorder) record(due, now time.Time) {
 	late := max(0, now.Sub(due))
 	l.histogram.RecordDuration(late)
-	for longest := l.longest.Load(); int64(late) > longest && !l.longest.CompareAndSwap(longest, int64(late)); {
-		longest = l.longest.Load()
-	}
+	l.longest.record(late)
+	l.recent.record(late)
 }
 
 // takeMax returns the longest delay since its last call.
-func (l *lagRecorder) takeMax() time.Duration { return time.Duration(l.longest.Swap(0)) }
+func (l *lagRecorder) takeMax() time.Duration { return l.longest.take() }
+
+// takeRecentMax is takeMax for the log of the state.
+func (l *lagRecorder) takeRecentMax() time.Duration { return l.recent.take() }
 
 // runUsageLog is the task that logs the process's resource usage and activity.
 func (m *Mesh) runUsageLog() error {
--- a/io/telemetry/telemetry.go
+++ b/io/telemetry/telemetry.go
@@ -14,13 +14,18 @@
 package telemetry
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
 	"net/netip"
 	"os"
+	"slices"
+	"strings"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	dto "github.com/prometheus/client_model/go"
 	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
 	promreporter "github.com/uber-go/tally/v4/prometheus"
@@ -48,6 +53,9 @@
 	SampleRatio float64
 }
 
+// metricsPrefix is the start of the names of the daemon's own metrics.
+const metricsPrefix = "siskinknot"
+
 // reportInterval is the interval at which tally passes metrics to the reporter.
 const reportInterval = time.Second
 
@@ -69,11 +77,12 @@
 func New(ctx context.Context, cfg Config) (*Telemetry, error) {
 	t := &Telemetry{}
 	reporter := promreporter.NewReporter(promreporter.Options{
+		Gatherer:        prometheus.GathererFunc(gatherOwnFirst),
 		OnRegisterError: func(error) {},
 	})
 	t.Metrics = reporter.HTTPHandler()
 	t.Scope, t.scopeCloser = tally.NewRootScope(tally.ScopeOptions{
-		Prefix:                 "siskinknot",
+		Prefix:                 metricsPrefix,
 		Separator:              promreporter.DefaultSeparator,
 		CachedReporter:         reporter,
 		OmitCardinalityMetrics: true,
@@ -100,6 +109,25 @@
 	return t, nil
 }
 
+// gatherOwnFirst gathers the metrics of the default registry: first the daemon's own, those with
+// one value before those with many, and then those of the Go runtime. A collector may keep only
+// the start of the page.
+func gatherOwnFirst() ([]*dto.MetricFamily, error) {
+	families, err := prometheus.DefaultGatherer.Gather()
+	rank := func(f *dto.MetricFamily) int {
+		switch {
+		case !strings.HasPrefix(f.GetName(), metricsPrefix):
+			return 2
+		case f.GetType() == dto.MetricType_HISTOGRAM:
+			return 1
+		default:
+			return 0
+		}
+	}
+	slices.SortStableFunc(families, func(a, b *dto.MetricFamily) int { return cmp.Compare(rank(a), rank(b)) })
+	return families, err
+}
+
 // exporter returns the exporter for spans, or nil if spans are discarded.
 func (t *Telemetry) exporter(ctx context.Context, cfg Config) (sdktrace.SpanExporter, error) {
 	if cfg.OTLP.IsValid() {
