--- a/io/mesh/calls_test.go
+++ b/io/mesh/calls_test.go
@@ -66,10 +66,15 @@
 
 // serve serves a request on route with the given IDs.
 func (m *Mesh) serve(route, id, parentID string, timeout time.Duration) outcome.Result {
+	return m.serveTo(nullSink{}, route, id, parentID, timeout)
+}
+
+// serveTo is serve with the sink of the answer.
+func (m *Mesh) serveTo(sink Sink, route, id, parentID string, timeout time.Duration) outcome.Result {
 	return m.Serve(context.Background(), &Request{
 		Host: "h", Method: http.MethodGet, Path: "/" + route + "/x", PathAndQuery: "/" + route + "/x", Header: http.Header{},
 		ID: id, ParentID: parentID, ReceivedAt: boottime.Now(), Timeout: timeout, Body: Body{Data: []byte{}},
-	}, nullSink{})
+	}, sink)
 }
 
 // TestCallHasPriorityOfParent checks the head with which a call arrives at its target, and that of a call that
