mesh: requests are limited by the daemon's processor time

Cause: no limit of requests by the daemon's own processor time. Above it each request is accepted and waits for the processor at each of its steps, until all are over before their work is done; heartbeats and configurations wait as well.

Why it works: fewer requests at a time keep the waits short enough for those that are accepted.

--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -83,6 +83,7 @@
 	UnconfirmedConfig Reason = "config_unconfirmed"
 	Overloaded        Reason = "overloaded"     // the queue is too long for the request to end in time
 	CallsFailing      Reason = "calls_failing"  // calls that targets make for such requests fail
+	Busy              Reason = "busy"           // the daemon is short of processor time
 	QueueFull         Reason = "queue_full"     // the queue holds too many requests
 	Draining          Reason = "draining"       // the daemon or its target is about to leave the fleet
 	Stopping          Reason = "stopping"       // the daemon ends before the deadline of the request
--- a/core/outcome/reasons.go
+++ b/core/outcome/reasons.go
@@ -4,7 +4,7 @@
 // them. Logs, metrics, traces and that page contain no other reasons.
 func Reasons() []Reason {
 	return []Reason{
-		Overloaded, CallsFailing, QueueFull, Shed, NoOwner, NotOwner, NoLease, Fenced, Starting, UnconfirmedConfig, Draining, Stopping, Evacuated, Unreachable,
+		Busy, Overloaded, CallsFailing, QueueFull, Shed, NoOwner, NotOwner, NoLease, Fenced, Starting, UnconfirmedConfig, Draining, Stopping, Evacuated, Unreachable,
 		NoService, Malformed, TooLarge, DeadlinePast, Cancelled, TimedOut, ConnectionCut, Duplicate,
 		Quarantined, OnTrial, TargetCrashed,
 	}
--- a/io/mesh/ingress.go
+++ b/io/mesh/ingress.go
@@ -159,6 +159,9 @@
 	}
 	c := m.newCall(req, route, sink)
 	m.recognizeCall(c)
+	if refusal := m.busyRefusal(boottime.Now(), c); refusal != nil {
+		return refusal
+	}
 	if svc, ok := table.Service(c.head.Service); ok {
 		c.divided = svc.Divided
 	}
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -41,7 +41,8 @@
 // targets of shared services by the paces that daemons report. Calls that a target makes for a
 // request are recognized, and requests whose calls fail are limited (calls.go). Requests that may
 // crash targets are known from the ends of targets (running.go), agreed among the daemons, and
-// rejected (suspects.go). Zones that the operator evacuates get no requests (evacuation.go).
+// rejected (suspects.go). While the process is short of processor time, a part of the requests
+// is rejected (overload.go). Zones that the operator evacuates get no requests (evacuation.go).
 //
 // The interfaces Store and Target hide the platform. The target's heartbeats, the
 // operator's configuration and the operator's records of evacuated zones are passed in
@@ -356,7 +357,9 @@
 	storeOK                              bool
 	storeAnsweredAt, heartbeatAnsweredAt time.Time
 	// outcomes counts the requests of callers for the log.
-	outcomes     outcomeCounts
+	outcomes outcomeCounts
+	// processor rejects requests while the process is short of processor time.
+	processor    processorLimit
 	requestLines requestLines
 	// transfers counts the transfers of keys to other members that are in
 	// progress. evacuating is set while no grant may be renewed because all
--- a/io/mesh/metrics.go
+++ b/io/mesh/metrics.go
@@ -79,10 +79,11 @@
 	timerLag   lagRecorder
 	// goroutineWait is how long goroutines waited for the processor in the last second, and
 	// configAge how long ago the configuration was confirmed to be the newest, in seconds.
-	goroutineWait, configAge tally.Gauge
-	goroutines               tally.Gauge
-	ranges                   tally.Gauge
-	sessions                 tally.Gauge
+	// acceptedShare is the share of callers' requests that the processor time suffices for.
+	goroutineWait, configAge, acceptedShare tally.Gauge
+	goroutines                              tally.Gauge
+	ranges                                  tally.Gauge
+	sessions                                tally.Gauge
 }
 
 // newMetrics returns metrics registered in scope.
@@ -135,6 +136,7 @@
 		sentRate:          scope.Gauge("target_requests_per_second"),
 		timerLag:          lagRecorder{histogram: scope.Histogram("timer_lag", buckets)},
 		goroutineWait:     scope.Gauge("goroutine_wait_seconds"),
+		acceptedShare:     scope.Gauge("accepted_share"),
 		configAge:         scope.Gauge("config_age_seconds"),
 		goroutines:        scope.Gauge("goroutines"),
 		ranges:            scope.Gauge("directory_ranges"),
--- a/io/mesh/peers.go
+++ b/io/mesh/peers.go
@@ -6,6 +6,7 @@
 
 	"siskinknot/core/outcome"
 	"siskinknot/core/request"
+	"siskinknot/io/boottime"
 	"siskinknot/io/forward"
 	"siskinknot/io/peer"
 	"siskinknot/io/peer/peerpb"
@@ -46,7 +47,10 @@
 // Forward implements peer.Handler.
 func (m *Mesh) Forward(ctx context.Context, in *peer.Incoming) {
 	forward.Serve(ctx, in, func(ctx context.Context, head *request.Head, ex forward.Exchange) outcome.Result {
-		res := m.runRequest(ctx, head, ex)
+		res := m.busyForwardRefusal(boottime.Now())
+		if res == nil {
+			res = m.runRequest(ctx, head, ex)
+		}
 		m.attachLoad(head, ex)
 		return res
 	})
--- a/io/mesh/state.go
+++ b/io/mesh/state.go
@@ -28,12 +28,14 @@
 		configAge := age(now, m.configCurrency.ConfirmedAt(version))
 		answerAge, storeAge := age(now, m.heartbeatAnsweredAt), age(now, m.storeAnsweredAt)
 		m.mu.Unlock()
+		share, _ := m.processor.shares(now)
 		m.metrics.goroutineWait.Update(wait.Mean().Seconds())
+		m.metrics.acceptedShare.Update(share)
 		m.metrics.configAge.Update(float64(configAge) / 1000)
 		m.log.Info("state", "processor_ms", (used - last).Milliseconds(), "lag_ms", m.metrics.timerLag.takeRecentMax().Milliseconds(),
 			"wait_us", wait.Mean().Microseconds(), "wait_p90_us", wait.Quantile(0.9).Microseconds(), "waits", wait.Count(),
 			"config", version, "config_age_ms", configAge, "answer_age_ms", answerAge, "store_age_ms", storeAge,
-			"requests", requests, "not_answered", rejected)
+			"accepted_share", share, "requests", requests, "not_answered", rejected)
 		last = used
 	})
 }
