peer: a session whose data waits to be read is not taken for silent

Cause: a session is closed, with its requests, when a ping has no answer in time. In a daemon that is short of processor time the answer has arrived and was not read. The class is that of the limit: what is late here counts as the fault of the other side.

Change: data that waits in the socket counts as received, for up to 2 s in which nothing is read.

--- a/io/peer/monitor.go
+++ b/io/peer/monitor.go
@@ -8,6 +8,7 @@
 	"github.com/hashicorp/yamux"
 
 	"siskinknot/io/meter"
+	"siskinknot/io/tcp"
 )
 
 // Intervals and timeouts of the monitor of a session.
@@ -23,6 +24,8 @@
 	// first waits for the answer to a ping. In a large fleet a session carries a
 	// request or a heartbeat every second or two.
 	maxReceiveAge = 1500 * time.Millisecond
+	// maxReadDelay is how long data may wait to be read before the session is taken for failed.
+	maxReadDelay = 2 * time.Second
 	// sessionIdleTimeout is how long a session without calls stays open.
 	sessionIdleTimeout = 30 * time.Second
 )
@@ -117,8 +120,12 @@
 	}
 }
 
-// receivedSince reports whether any data was received from the peer after t.
-func (m *monitor) receivedSince(t time.Time) bool { return m.conn.SinceLastRead() < time.Since(t) }
+// receivedSince reports whether any data was received from the peer after t. Data that waits to
+// be read counts as received, for maxReadDelay: this process is late, and the peer is not silent.
+func (m *monitor) receivedSince(t time.Time) bool {
+	sinceLastRead := m.conn.SinceLastRead()
+	return sinceLastRead < time.Since(t) || (sinceLastRead < maxReadDelay && tcp.HasInput(m.conn))
+}
 
 // ping sends a ping unless one is in progress. It closes the session if the ping
 // fails and no other data was received meanwhile: on a saturated link the answer
--- a/io/tcp/idle.go
+++ b/io/tcp/idle.go
@@ -172,14 +172,14 @@
 // closes a connection whose read fails. If the server has read the beginning of a request, it
 // resets the deadline, and if it has read the head, note does.
 func (t *trackedConn) endReads(conn net.Conn) {
-	if !hasInput(conn) {
+	if !HasInput(conn) {
 		t.readsEnded = true
 		_ = conn.SetReadDeadline(time.Unix(1, 0))
 	}
 }
 
-// hasInput reports whether conn has input that the process has not read.
-func hasInput(conn net.Conn) bool {
+// HasInput reports whether conn has input that the process has not read.
+func HasInput(conn net.Conn) bool {
 	sc, ok := conn.(syscall.Conn)
 	if !ok {
 		return false
