mesh: requests rejected for want of processor time are counted and logged

Cause: they ended before the counters by reason and the line for a request that is not answered; only the state log had them.

Change: both, the lines limited as all lines on single requests.

Measured: go test ./io/mesh ./core/overload passes.

--- a/core/overload/overload.go
+++ b/core/overload/overload.go
@@ -8,11 +8,11 @@
 // configurations are late as well, so that the fleet fences members that are well.
 //
 // What is measured is how long goroutines wait for the processor, as the mean of each interval.
-// The process is overloaded once that exceeds MaxWait in several intervals in a row; a
-// garbage collection, or the end of a VM's share of a period, exceeds it in one. The share is then reduced
-// by as much as the wait exceeds MaxWait, and raised by equal steps when it does not.
-// Requests are rejected at random: whichever callers and routes there are, each gets the same
-// share. The share never falls to zero, as the end of the overload shows only by requests.
+// The process is overloaded once that exceeds MaxWait in several intervals in a row: a garbage
+// collection exceeds it in one. The share is then reduced by as much as the wait exceeds MaxWait,
+// and raised by equal steps when it does not. Requests are rejected at random, so that all callers
+// and routes get the same share. It never falls to zero, since only requests show the end of the
+// overload.
 //
 // # Usage
 //
--- a/io/mesh/ingress.go
+++ b/io/mesh/ingress.go
@@ -160,6 +160,8 @@
 	c := m.newCall(req, route, sink)
 	m.recognizeCall(c)
 	if refusal := m.busyRefusal(boottime.Now(), c); refusal != nil {
+		m.metrics.recordOutcome(refusal, boottime.Now().Sub(req.ReceivedAt))
+		m.logOutcome(c, table, refusal)
 		return refusal
 	}
 	if svc, ok := table.Service(c.head.Service); ok {
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -358,9 +358,10 @@
 	storeAnsweredAt, heartbeatAnsweredAt time.Time
 	// outcomes counts the requests of callers for the log.
 	outcomes outcomeCounts
-	// processor rejects requests while the process is short of processor time.
-	processor    processorLimit
+	// requestLines limits the log lines on single requests.
 	requestLines requestLines
+	// processor rejects requests while the process is short of processor time.
+	processor processorLimit
 	// transfers counts the transfers of keys to other members that are in
 	// progress. evacuating is set while no grant may be renewed because all
 	// keys are to be transferred: the target is leaving, or its zone is evacuated.
