mesh: a configuration that was just read counts as confirmed

The configuration is there before another daemon has confirmed it.

Cause: only replies of other daemons confirmed a version.

Change: a version that was read from the store or fetched from another daemon counts as the newest at that time. A read of the newest records may be older than that; it counts for 1 s.

--- a/core/routing/currency.go
+++ b/core/routing/currency.go
@@ -21,12 +21,12 @@
 // the replies of other daemons, and half of the time in which a change has to be in effect.
 const MaxConfirmationAge = time.Second
 
-// Observe records that another daemon has reported its version, in a reply to a message that
-// was sent at sentAt. The daemon may have read a newer one since.
-func (c *Currency) Observe(sentAt time.Time, version uint64) {
+// Observe records that version was the newest one of another daemon or of the store at the
+// given time. For a reply that is when the call was sent: there may be a newer one since.
+func (c *Currency) Observe(at time.Time, version uint64) {
 	c.newest = max(c.newest, version)
-	if version >= c.confirmed && sentAt.After(c.confirmedAt) {
-		c.confirmed, c.confirmedAt = version, sentAt
+	if version >= c.confirmed && at.After(c.confirmedAt) {
+		c.confirmed, c.confirmedAt = version, at
 	}
 }
 
--- a/io/mesh/configfetch.go
+++ b/io/mesh/configfetch.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"siskinknot/io/boottime"
 	"siskinknot/io/peer"
 	"siskinknot/io/peer/peerpb"
 )
@@ -59,6 +60,7 @@
 	}
 	ctx, cancel := m.withTimeout(fetchTimeout)
 	defer cancel()
+	sentAt := boottime.Now()
 	reply, err := m.pool.CallWithPurpose(ctx, addr, peer.Requests, &peerpb.Call{Kind: &peerpb.Call_FetchConfig{FetchConfig: &peerpb.FetchConfig{}}})
 	if err != nil || len(reply.Config) == 0 {
 		return
@@ -74,5 +76,5 @@
 		m.log.Warn("received an invalid configuration from a peer", "peer", addr, "error", err)
 		return
 	}
-	m.Configure(table, reply.Config)
+	m.configure(sentAt, table, reply.Config)
 }
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -454,8 +454,15 @@
 // Configure puts a version of the configuration into effect. It does nothing if
 // table is not newer than the current version.
 func (m *Mesh) Configure(table *routing.Table, document []byte) {
+	m.configure(boottime.Now(), table, document)
+}
+
+// configure is Configure with a configuration that was the newest one of its source at
+// confirmedAt.
+func (m *Mesh) configure(confirmedAt time.Time, table *routing.Table, document []byte) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.configCurrency.Observe(confirmedAt, table.Version)
 	if m.table != nil && table.Version <= m.table.Version {
 		return
 	}
--- a/io/mesh/unknownroute_test.go
+++ b/io/mesh/unknownroute_test.go
@@ -23,6 +23,7 @@
 		final bool // refused for good
 	}{
 		{"confirmed by another daemon", false, func(m *Mesh) { m.configCurrency.Observe(now, 1) }, true},
+		{"just read", false, func(m *Mesh) { m.Configure(m.table, nil) }, true},
 		{"no other daemon has answered", false, func(*Mesh) {}, false},
 		{"none has answered for a while", false, func(m *Mesh) { m.configCurrency.Observe(now.Add(-2*time.Second), 1) }, false},
 		{"another daemon has a newer version", false, func(m *Mesh) { m.configCurrency.Observe(now, 2) }, false},
