--- a/io/mesh/metrics.go
+++ b/io/mesh/metrics.go
@@ -179,6 +179,8 @@
 	switch res := res.(type) {
 	case outcome.NotRun:
 		return res.Reason
+	case Refused:
+		return res.Reason
 	case outcome.Unknown:
 		return res.Reason
 	default:
--- a/io/mesh/state.go
+++ b/io/mesh/state.go
@@ -19,7 +19,7 @@
 	last, waits := cpuTime(), goruntime.NewWaits()
 	return m.runEvery(stateInterval, func(now time.Time) {
 		used, wait := cpuTime(), waits.Take()
-		requests, rejected := m.outcomes.take()
+		requests, notAnswered := m.outcomes.take()
 		m.mu.Lock()
 		version := uint64(0)
 		if m.table != nil {
@@ -35,7 +35,7 @@
 		m.log.Info("state", "processor_ms", (used - last).Milliseconds(), "lag_ms", m.metrics.timerLag.takeRecentMax().Milliseconds(),
 			"wait_us", wait.Mean().Microseconds(), "wait_p90_us", wait.Quantile(0.9).Microseconds(), "waits", wait.Count(),
 			"config", version, "config_age_ms", configAge, "answer_age_ms", answerAge, "store_age_ms", storeAge,
-			"accepted_share", share, "requests", requests, "not_answered", rejected)
+			"accepted_share", share, "requests", requests, "not_answered", notAnswered)
 		last = used
 	})
 }
@@ -60,9 +60,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ended++
-	if refused, ok := res.(Refused); ok {
-		res = refused.NotRun
-	}
 	if reason := reasonOf(res); reason != "" {
 		if c.notAnswered == nil {
 			c.notAnswered = map[outcome.Reason]int{}
