meter: one maximum of durations for timers and for accept

Cause: the loop that keeps the longest duration stood in io/tcp and, twice as much used since the state log, in io/mesh.

Change: meter.Maximum serves both.

Measured: go test ./io/tcp ./io/meter ./io/mesh ./io/peer passes; no behaviour is changed.

--- a/io/mesh/usage.go
+++ b/io/mesh/usage.go
@@ -7,6 +7,8 @@
 
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sys/unix"
+
+	"siskinknot/io/meter"
 )
 
 // usageInterval is the time between two usage log lines: short enough to show a
@@ -39,35 +41,22 @@
 type lagRecorder struct {
 	histogram tally.Histogram
 	// longest and recent are the longest delays since the last calls of takeMax and takeRecentMax.
-	longest, recent maxDuration
-}
-
-// maxDuration is the longest of the durations that were recorded. It is safe for concurrent use.
-type maxDuration struct{ nanoseconds atomic.Int64 }
-
-// record records d.
-func (m *maxDuration) record(d time.Duration) {
-	for longest := m.nanoseconds.Load(); int64(d) > longest && !m.nanoseconds.CompareAndSwap(longest, int64(d)); {
-		longest = m.nanoseconds.Load()
-	}
+	longest, recent meter.Maximum
 }
 
-// take returns the longest duration since its last call.
-func (m *maxDuration) take() time.Duration { return time.Duration(m.nanoseconds.Swap(0)) }
-
 // record records a timer that was due at due and fired at now.
 func (l *lagRecorder) record(due, now time.Time) {
 	late := max(0, now.Sub(due))
 	l.histogram.RecordDuration(late)
-	l.longest.record(late)
-	l.recent.record(late)
+	l.longest.Record(late)
+	l.recent.Record(late)
 }
 
 // takeMax returns the longest delay since its last call.
-func (l *lagRecorder) takeMax() time.Duration { return l.longest.take() }
+func (l *lagRecorder) takeMax() time.Duration { return l.longest.Take() }
 
 // takeRecentMax is takeMax for the log of the state.
-func (l *lagRecorder) takeRecentMax() time.Duration { return l.recent.take() }
+func (l *lagRecorder) takeRecentMax() time.Duration { return l.recent.Take() }
 
 // runUsageLog is the task that logs the process's resource usage and activity.
 func (m *Mesh) runUsageLog() error {
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -1,5 +1,5 @@
 // Package meter counts the bytes that connections receive and send, and records
-// when a connection last received any.
+// when a connection last received any. A Maximum keeps the longest of recorded durations.
 //
 // # Usage
 //
--- a/io/tcp/accept.go
+++ b/io/tcp/accept.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"siskinknot/io/meter"
 )
 
 // Delays after a failed attempt to accept a connection. They double with each failure in a
@@ -29,9 +31,10 @@
 	accepted, failures atomic.Int64
 	// returnedAt is when Accept returned a connection, in nanoseconds since started, or 0 while
 	// a call of Accept is in progress. longestHold is the longest time between two calls since
-	// the last call of TakeLoad, in nanoseconds.
-	started                 time.Time
-	returnedAt, longestHold atomic.Int64
+	// the last call of TakeLoad.
+	started     time.Time
+	returnedAt  atomic.Int64
+	longestHold meter.Maximum
 }
 
 // AcceptLoad describes how a server accepts connections.
@@ -90,10 +93,7 @@
 	if returnedAt == 0 {
 		return
 	}
-	hold := int64(now.Sub(l.started)) - returnedAt
-	for longest := l.longestHold.Load(); hold > longest && !l.longestHold.CompareAndSwap(longest, hold); {
-		longest = l.longestHold.Load()
-	}
+	l.longestHold.Record(now.Sub(l.started) - time.Duration(returnedAt))
 }
 
 // TakeLoad returns the AcceptLoad at now, which includes the time since the last connection was
@@ -103,7 +103,7 @@
 	return AcceptLoad{
 		Accepted:    l.accepted.Load(),
 		Failed:      l.failures.Load(),
-		LongestHold: time.Duration(l.longestHold.Swap(0)),
+		LongestHold: l.longestHold.Take(),
 		Queued:      queuedConns(l.Listener),
 	}
 }
